--- /dev/null
+++ b/src/dispatch/active_job.cpp
@@ -0,0 +1,123 @@
+#include "dispatch/active_job.h"
+
+#include <algorithm>
+
+namespace azuremoor
+{
+
+active_job::active_job(std::uint64_t jobNumber, job_spec jobSpec, route jobRule, steady_time jobArrival, steady_time jobDeadline)
+    : number(jobNumber)
+    , spec(std::move(jobSpec))
+    , rule(std::move(jobRule))
+    , arrival(jobArrival)
+    , deadline(jobDeadline)
+    , m_longestChain(longestChain())
+{
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+        for (std::uint32_t index = 0; index < spec.steps[step].count; ++index) {
+            tasks.push_back({step, index, task_state::blocked, 0, 0, {}});
+        }
+    }
+    releaseSteps();
+}
+
+steady_time active_job::latestStart() const
+{
+    return objective() - m_longestChain;
+}
+
+steady_time active_job::objective() const
+{
+    const double stretched = static_cast<double>(m_longestChain.count()) * rule.slackFactor;
+    return arrival + microseconds(static_cast<std::int64_t>(stretched)) + rule.targetLatency;
+}
+
+std::string active_job::taskName(std::uint32_t task) const
+{
+    const active_task &named = tasks[task];
+    return spec.id + ".0." + std::to_string(named.step) + '.' + std::to_string(named.index);
+}
+
+bool active_job::finishTask(std::uint32_t task)
+{
+    tasks[task].state = task_state::done;
+    releaseSteps();
+    return std::all_of(tasks.begin(), tasks.end(), [](const active_task &each) { return each.state == task_state::done; });
+}
+
+double active_job::waitingWork() const
+{
+    double work = 0;
+    for (const active_task &task : tasks) {
+        if (task.state == task_state::waiting) {
+            const step_spec &step = spec.steps[task.step];
+            work += static_cast<double>(step.shape.milliCores) * static_cast<double>(step.estimate.count());
+        }
+    }
+    return work;
+}
+
+double active_job::waitingMilliCores() const
+{
+    double milliCores = 0;
+    for (const active_task &task : tasks) {
+        milliCores += task.state == task_state::waiting ? spec.steps[task.step].shape.milliCores : 0;
+    }
+    return milliCores;
+}
+
+bool active_job::hasWaitingTask() const
+{
+    return std::any_of(tasks.begin(), tasks.end(), [](const active_task &task) { return task.state == task_state::waiting; });
+}
+
+bool active_job::hasStarted() const
+{
+    return std::any_of(tasks.begin(), tasks.end(), [](const active_task &task) { return task.runNumber > 0; });
+}
+
+std::size_t active_job::runningTasks() const
+{
+    return std::count_if(tasks.begin(), tasks.end(), [](const active_task &task) { return task.state == task_state::running; });
+}
+
+const step_spec &active_job::stepOf(std::uint32_t task) const
+{
+    return spec.steps[tasks[task].step];
+}
+
+microseconds active_job::longestChain() const
+{
+    std::vector<microseconds> chainEnd(spec.steps.size());
+    microseconds longest{0};
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        microseconds begin{0};
+        for (const std::uint32_t earlier : spec.steps[step].dependsOn) {
+            begin = std::max(begin, chainEnd[earlier]);
+        }
+        chainEnd[step] = begin + spec.steps[step].estimate;
+        longest = std::max(longest, chainEnd[step]);
+    }
+    return longest;
+}
+
+bool active_job::isStepDone(std::uint32_t step) const
+{
+    return std::all_of(tasks.begin(), tasks.end(), [step](const active_task &task) {
+        return task.step != step || task.state == task_state::done;
+    });
+}
+
+void active_job::releaseSteps()
+{
+    for (active_task &task : tasks) {
+        const std::vector<std::uint32_t> &dependsOn = spec.steps[task.step].dependsOn;
+        const bool isReleased
+            = std::all_of(dependsOn.begin(), dependsOn.end(), [this](std::uint32_t earlier) { return isStepDone(earlier); });
+        if (task.state == task_state::blocked && isReleased) {
+            task.state = task_state::waiting;
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/dispatch/admission_policy.h
@@ -0,0 +1,44 @@
+#ifndef AZUREMOOR_DISPATCH_ADMISSION_POLICY_H
+#define AZUREMOOR_DISPATCH_ADMISSION_POLICY_H
+
+#include "base/time_source.h"
+
+namespace azuremoor
+{
+
+/// The load that a job meets on arrival. Work is processor time: thousandths of a core times microseconds.
+struct admission_load {
+    /// Work that waits at this entry and goes before the job.
+    double workAhead = 0;
+    /// Work of the job itself.
+    double ownWork = 0;
+    /// Thousandths of a core that are free now.
+    double freeMilliCores = 0;
+    /// Thousandths of a core of all usable workers.
+    double capacityMilliCores = 0;
+    /// Entries that share the workers, this one included.
+    double entries = 1;
+    /// Thousandths of a core that the job's tasks need to run side by side.
+    double ownMilliCores = 0;
+};
+
+/// Decides whether a job can be expected to be served in time.
+class admission_policy
+{
+public:
+    virtual ~admission_policy() = default;
+
+    /// Returns the time until the last task of the job can be expected to start.
+    virtual microseconds expectedWait(const admission_load &load) const = 0;
+};
+
+/// Expects the backlog of an entry to be worked off by the entry's even share of the workers.
+class fair_share_admission : public admission_policy
+{
+public:
+    microseconds expectedWait(const admission_load &load) const override;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/dispatch/entry_directory.cpp
@@ -0,0 +1,76 @@
+#include "dispatch/entry_directory.h"
+
+namespace azuremoor
+{
+
+namespace
+{
+
+/// Time without a connection after which an address is forgotten.
+constexpr microseconds FORGET_AFTER = seconds(10);
+
+}
+
+entry_directory::entry_directory(const time_source &time, std::string self, std::span<const std::string> seeds)
+    : m_time(time)
+    , m_self(std::move(self))
+{
+    for (const std::string &seed : seeds) {
+        if (seed != m_self) {
+            m_entries[seed] = {true, false, m_time.steadyNow()};
+        }
+    }
+}
+
+bool entry_directory::learn(std::span<const std::string> addresses)
+{
+    bool isNew = false;
+    for (const std::string &address : addresses) {
+        if (address != m_self && !m_entries.contains(address)) {
+            m_entries[address] = {false, false, m_time.steadyNow()};
+            isNew = true;
+        }
+    }
+    return isNew;
+}
+
+void entry_directory::setConnected(const std::string &address, bool connected)
+{
+    known_entry &entry = m_entries[address];
+    entry.connected = connected;
+    entry.lastSeen = m_time.steadyNow();
+}
+
+bool entry_directory::expire()
+{
+    const steady_time now = m_time.steadyNow();
+    const std::size_t removed = std::erase_if(m_entries, [now](const auto &each) {
+        return !each.second.isSeed && !each.second.connected && now >= each.second.lastSeen + FORGET_AFTER;
+    });
+    return removed > 0;
+}
+
+std::vector<std::string> entry_directory::targets() const
+{
+    std::vector<std::string> result;
+    for (const auto &[address, entry] : m_entries) {
+        result.push_back(address);
+    }
+    return result;
+}
+
+std::vector<std::string> entry_directory::alive() const
+{
+    std::vector<std::string> result;
+    if (!m_self.empty()) {
+        result.push_back(m_self);
+    }
+    for (const auto &[address, entry] : m_entries) {
+        if (entry.connected) {
+            result.push_back(address);
+        }
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/src/dispatch/job_dispatcher.cpp
@@ -0,0 +1,396 @@
+#include "dispatch/job_dispatcher.h"
+
+#include <algorithm>
+
+namespace azuremoor
+{
+
+namespace
+{
+
+/// Jobs with waiting tasks that one round looks at when the first ones find no room.
+constexpr std::size_t MAX_JOBS_WITHOUT_ROOM = 12;
+
+/// Bounds of the time after which a refused caller is told to come back.
+constexpr microseconds SHORTEST_RETRY = milliseconds(500);
+constexpr microseconds LONGEST_RETRY = seconds(5);
+
+/// Jobs that one entry owns at most.
+constexpr std::size_t MAX_ACTIVE_JOBS = 4000;
+
+/// A waiting job is looked at again when this part of the time to its objective has passed.
+constexpr int CONFIRM_DIVISOR = 5;
+
+/// Added to the run number when a worker has seen the present one: an earlier owner of the job has numbered runs too.
+constexpr std::uint32_t RUN_NUMBER_JUMP = 100;
+
+}
+
+std::string_view answerKindName(answer_kind kind)
+{
+    constexpr std::string_view NAMES[] = {"completed", "failed", "refused_full", "refused_unavailable", "expired", "cancelled"};
+    return NAMES[static_cast<std::size_t>(kind)];
+}
+
+job_dispatcher::job_dispatcher(const time_source &time,
+                               worker_pool &pool,
+                               placement_policy &placement,
+                               const admission_policy &admission,
+                               answer_sink &answers,
+                               decision_journal &journal)
+    : m_time(time)
+    , m_pool(pool)
+    , m_placement(placement)
+    , m_admission(admission)
+    , m_answers(answers)
+    , m_journal(journal)
+{
+}
+
+void job_dispatcher::submit(std::uint64_t request, job_spec spec, const route &rule, steady_time deadline)
+{
+    const auto known = m_byId.find(spec.id);
+    if (known != m_byId.end() && !m_jobs.at(known->second).isEnding) {
+        active_job &job = m_jobs.at(known->second);
+        job.requests.push_back(request);
+        m_byRequest[request] = job.number;
+        m_journal.note("job_joined", {{"job", job.spec.id}, {"request", std::to_string(request)}});
+        return;
+    }
+    active_job job(m_nextJob++, std::move(spec), rule, m_time.steadyNow(), deadline);
+    if (known != m_byId.end()) {
+        answerOne(request, job, refusal(answer_kind::refused_unavailable, "an earlier copy of the job is being stopped", SHORTEST_RETRY));
+        return;
+    }
+    if (refuseAtOnce(job, request)) {
+        return;
+    }
+    ++m_counters.admitted;
+    job.requests.push_back(request);
+    m_byRequest[request] = job.number;
+    m_byId[job.spec.id] = job.number;
+    m_waiting.insert(keyOf(job));
+    m_jobs.emplace(job.number, std::move(job));
+}
+
+void job_dispatcher::abandon(std::uint64_t request)
+{
+    const auto found = m_byRequest.find(request);
+    if (found == m_byRequest.end()) {
+        return;
+    }
+    active_job &job = m_jobs.at(found->second);
+    m_byRequest.erase(found);
+    std::erase(job.requests, request);
+    ++m_counters.abandoned;
+    if (job.requests.empty() && !job.isEnding) {
+        finish(job, {answer_kind::cancelled, "the caller left", {}});
+    }
+}
+
+bool job_dispatcher::cancel(const std::string &id)
+{
+    const auto found = m_byId.find(id);
+    if (found == m_byId.end() || m_jobs.at(found->second).isEnding) {
+        return false;
+    }
+    finish(m_jobs.at(found->second), {answer_kind::cancelled, "the caller cancelled the job", {}});
+    return true;
+}
+
+bool job_dispatcher::isActive(const std::string &id) const
+{
+    const auto found = m_byId.find(id);
+    return found != m_byId.end() && !m_jobs.at(found->second).isEnding;
+}
+
+std::size_t job_dispatcher::pending(const std::string &queue) const
+{
+    return std::count_if(m_jobs.begin(), m_jobs.end(), [&queue](const auto &entry) {
+        return entry.second.rule.name == queue && !entry.second.isEnding && !entry.second.hasStarted();
+    });
+}
+
+void job_dispatcher::endRun(const task_reference &reference, run_outcome outcome, const std::string &agent)
+{
+    const auto found = m_jobs.find(reference.job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    active_job &job = found->second;
+    active_task &task = job.tasks[reference.task];
+    if (outcome != run_outcome::done) {
+        m_journal.note("run_ended",
+                       {{"job", job.spec.id},
+                        {"task", job.taskName(reference.task)},
+                        {"run", std::to_string(task.runNumber)},
+                        {"outcome", std::string(runOutcomeName(outcome))},
+                        {"agent", agent}});
+    }
+    task.state = task_state::waiting;
+    if (job.isEnding) {
+        forgetIfOver(job);
+    } else if (outcome == run_outcome::done) {
+        endSuccessfulRun(job, reference.task);
+    } else {
+        endUnsuccessfulRun(job, task, outcome, agent);
+    }
+}
+
+void job_dispatcher::endSuccessfulRun(active_job &job, std::uint32_t task)
+{
+    if (job.finishTask(task)) {
+        finish(job, {answer_kind::completed, {}, {}});
+    } else if (job.hasWaitingTask()) {
+        m_waiting.insert(keyOf(job));
+    }
+}
+
+void job_dispatcher::endUnsuccessfulRun(active_job &job, active_task &task, run_outcome outcome, const std::string &agent)
+{
+    if (outcome == run_outcome::failed || outcome == run_outcome::rejected) {
+        ++m_counters.failedRuns;
+        ++task.failedRuns;
+        if (task.failedRuns >= job.rule.maxAttempts) {
+            finish(job, {answer_kind::failed, "a task failed " + std::to_string(task.failedRuns) + " times", {}});
+            return;
+        }
+    } else if (outcome == run_outcome::stale_number) {
+        task.runNumber += RUN_NUMBER_JUMP;
+    }
+    if (hasBegun(outcome)) {
+        ++m_counters.retries;
+        task.avoidedAgent = agent;
+    } else {
+        ++m_counters.refusedOrders;
+    }
+    m_waiting.insert(keyOf(job));
+}
+
+void job_dispatcher::placeWaiting()
+{
+    std::size_t withoutRoom = 0;
+    auto next = m_waiting.begin();
+    while (next != m_waiting.end() && withoutRoom < MAX_JOBS_WITHOUT_ROOM) {
+        active_job &job = m_jobs.at(next->second);
+        if (placeTasks(job)) {
+            next = m_waiting.erase(next);
+        } else {
+            ++withoutRoom;
+            ++next;
+        }
+    }
+    m_pool.flush();
+}
+
+void job_dispatcher::tick()
+{
+    const steady_time now = m_time.steadyNow();
+    std::vector<std::uint64_t> expired;
+    std::vector<std::uint64_t> unconfirmed;
+    for (const auto &[number, job] : m_jobs) {
+        if (job.isEnding) {
+            continue;
+        }
+        if (now >= job.deadline) {
+            expired.push_back(number);
+        } else if (!job.isConfirmed && !job.hasStarted() && now >= job.arrival + (job.objective() - job.arrival) / CONFIRM_DIVISOR) {
+            unconfirmed.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : unconfirmed) {
+        confirm(m_jobs.at(number));
+    }
+    for (const std::uint64_t number : expired) {
+        finish(m_jobs.at(number), {answer_kind::expired, "not done by the deadline", {}});
+    }
+}
+
+void job_dispatcher::setEntryCount(std::size_t entries)
+{
+    m_entries = std::max<std::size_t>(entries, 1);
+}
+
+std::size_t job_dispatcher::activeJobs() const
+{
+    return m_jobs.size();
+}
+
+const dispatch_counters &job_dispatcher::counters() const
+{
+    return m_counters;
+}
+
+job_dispatcher::queue_key job_dispatcher::keyOf(const active_job &job)
+{
+    return {job.latestStart(), job.number};
+}
+
+admission_load job_dispatcher::loadFor(const active_job &job) const
+{
+    admission_load load;
+    load.entries = static_cast<double>(m_entries);
+    load.ownWork = job.waitingWork();
+    load.ownMilliCores = job.waitingMilliCores();
+    const queue_key own = keyOf(job);
+    for (auto key = m_waiting.begin(); key != m_waiting.end() && *key < own; ++key) {
+        load.workAhead += m_jobs.at(key->second).waitingWork();
+    }
+    for (const auto &[agent, worker] : m_pool.workers()) {
+        if (m_pool.isUsable(worker) && worker.status.service == job.rule.service) {
+            load.freeMilliCores += worker.freeRoom().milliCores;
+            load.capacityMilliCores += worker.status.capacity.milliCores;
+        }
+    }
+    return load;
+}
+
+bool job_dispatcher::refuseAtOnce(const active_job &job, std::uint64_t request)
+{
+    const auto reject = [&](answer_kind kind, const std::string &reason, microseconds wait) {
+        answerOne(request, job, refusal(kind, reason, wait));
+        return true;
+    };
+    const std::string &unsupported = job.spec.unsupported.empty() ? job.rule.unsupported : job.spec.unsupported;
+    if (!unsupported.empty()) {
+        return reject(answer_kind::refused_unavailable, unsupported, LONGEST_RETRY);
+    }
+    if (job.spec.kept) {
+        return reject(answer_kind::refused_unavailable, "jobs that have to be kept are not served yet", LONGEST_RETRY);
+    }
+    if (m_jobs.size() >= MAX_ACTIVE_JOBS) {
+        return reject(answer_kind::refused_full, "too many jobs", SHORTEST_RETRY);
+    }
+    const admission_load load = loadFor(job);
+    if (load.capacityMilliCores <= 0) {
+        return reject(answer_kind::refused_unavailable, "no worker is ready", SHORTEST_RETRY);
+    }
+    if (isHopeless(job)) {
+        answerOne(request, job, {answer_kind::failed, "no worker could run it", {}});
+        return true;
+    }
+    const microseconds wait = m_admission.expectedWait(load);
+    const bool isAdmitted = m_time.steadyNow() + wait <= job.latestStart();
+    m_journal.note(isAdmitted ? "job_admitted" : "job_refused",
+                   {{"job", job.spec.id},
+                    {"request", std::to_string(request)},
+                    {"queue", job.rule.name},
+                    {"tasks", std::to_string(job.tasks.size())},
+                    {"expected_wait_us", std::to_string(wait.count())},
+                    {"free_millicores", std::to_string(static_cast<std::int64_t>(load.freeMilliCores))},
+                    {"capacity_millicores", std::to_string(static_cast<std::int64_t>(load.capacityMilliCores))}});
+    if (!isAdmitted) {
+        return reject(answer_kind::refused_full, "the work that waits would make it late", wait);
+    }
+    return false;
+}
+
+bool job_dispatcher::isHopeless(const active_job &job) const
+{
+    return std::any_of(job.spec.steps.begin(), job.spec.steps.end(), [this, &job](const step_spec &step) {
+        return !m_placement.couldRun(m_pool, {&step, job.rule.service, {}, {}});
+    });
+}
+
+bool job_dispatcher::placeTasks(active_job &job)
+{
+    bool isPlaced = true;
+    for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+        active_task &task = job.tasks[index];
+        if (task.state != task_state::waiting) {
+            continue;
+        }
+        const step_spec &step = job.stepOf(index);
+        worker_view *worker = m_placement.choose(m_pool, {&step, job.rule.service, task.avoidedAgent, agentsAtLimit(job, task.step)});
+        if (worker == nullptr) {
+            isPlaced = false;
+            continue;
+        }
+        ++task.runNumber;
+        ++m_counters.orders;
+        task.state = task_state::running;
+        m_journal.note("run_ordered",
+                       {{"task", job.taskName(index)},
+                        {"run", std::to_string(task.runNumber)},
+                        {"agent", worker->agent},
+                        {"free_millicores", std::to_string(worker->freeRoom().milliCores)},
+                        {"status_age_us", std::to_string((m_time.steadyNow() - worker->statusAt).count())}});
+        m_pool.order(*worker, {job.number, index}, {0, job.taskName(index), task.runNumber, job.spec.payload, step.shape}, step.estimate);
+    }
+    return isPlaced;
+}
+
+std::set<std::string> job_dispatcher::agentsAtLimit(const active_job &job, std::uint32_t step) const
+{
+    std::set<std::string> result;
+    const std::uint32_t limit = job.spec.steps[step].mostPerWorker;
+    if (limit == 0) {
+        return result;
+    }
+    for (const auto &[agent, worker] : m_pool.workers()) {
+        const auto count = std::count_if(worker.runs.begin(), worker.runs.end(), [&](const auto &entry) {
+            return entry.second.task.job == job.number && job.tasks[entry.second.task.task].step == step;
+        });
+        if (count >= static_cast<std::ptrdiff_t>(limit)) {
+            result.insert(agent);
+        }
+    }
+    return result;
+}
+
+void job_dispatcher::confirm(active_job &job)
+{
+    job.isConfirmed = true;
+    const microseconds wait = m_admission.expectedWait(loadFor(job));
+    if (m_time.steadyNow() + wait > job.latestStart()) {
+        finish(job, refusal(answer_kind::refused_full, "the work that waits makes it late", wait));
+    }
+}
+
+void job_dispatcher::finish(active_job &job, const job_answer &answer)
+{
+    job.isEnding = true;
+    m_waiting.erase(keyOf(job));
+    for (const std::uint64_t request : job.requests) {
+        m_byRequest.erase(request);
+        answerOne(request, job, answer);
+    }
+    if (job.requests.empty()) {
+        m_journal.note("job_dropped", {{"job", job.spec.id}, {"reason", answer.reason}});
+    }
+    job.requests.clear();
+    if (job.runningTasks() > 0) {
+        m_pool.stopRuns(job.number);
+    }
+    forgetIfOver(job);
+}
+
+void job_dispatcher::forgetIfOver(active_job &job)
+{
+    if (job.runningTasks() > 0) {
+        return;
+    }
+    m_byId.erase(job.spec.id);
+    m_jobs.erase(job.number);
+}
+
+job_answer job_dispatcher::refusal(answer_kind kind, const std::string &reason, microseconds wait) const
+{
+    return {kind, reason, m_time.steadyNow() + std::clamp(wait, SHORTEST_RETRY, LONGEST_RETRY)};
+}
+
+void job_dispatcher::answerOne(std::uint64_t request, const active_job &job, const job_answer &answer)
+{
+    ++m_counters.answers[static_cast<std::size_t>(answer.kind)];
+    m_journal.note("job_answered",
+                   {{"job", job.spec.id},
+                    {"request", std::to_string(request)},
+                    {"queue", job.rule.name},
+                    {"answer", std::string(answerKindName(answer.kind))},
+                    {"reason", answer.reason},
+                    {"after_us", std::to_string((m_time.steadyNow() - job.arrival).count())},
+                    {"late_us", std::to_string((m_time.steadyNow() - job.objective()).count())}});
+    m_answers.answerRequest(request, answer);
+}
+
+}
--- /dev/null
+++ b/src/dispatch/job_dispatcher.h
@@ -0,0 +1,147 @@
+#ifndef AZUREMOOR_DISPATCH_JOB_DISPATCHER_H
+#define AZUREMOOR_DISPATCH_JOB_DISPATCHER_H
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "base/decision_journal.h"
+#include "dispatch/active_job.h"
+#include "dispatch/admission_policy.h"
+#include "dispatch/placement_policy.h"
+#include "dispatch/worker_pool.h"
+
+namespace azuremoor
+{
+
+/// How a request for a job is answered.
+enum class answer_kind : std::uint8_t {
+    completed,
+    /// A task failed too often, or no worker could ever run it.
+    failed,
+    /// Proved not to have run: there is too much work. The caller may come back.
+    refused_full,
+    /// Proved not to have run: something that the job needs is missing. The caller may come back.
+    refused_unavailable,
+    /// Not done by the deadline. Some of it may have run.
+    expired,
+    cancelled,
+};
+
+/// Returns the name of the kind, for logs and counters.
+std::string_view answerKindName(answer_kind kind);
+
+/// The one answer to a request.
+struct job_answer {
+    answer_kind kind = answer_kind::failed;
+    std::string reason;
+    /// When the caller may come back; only for refusals.
+    steady_time retryAt{};
+};
+
+/// Delivers answers to callers.
+class answer_sink
+{
+public:
+    virtual ~answer_sink() = default;
+
+    /// Answers the request, once.
+    virtual void answerRequest(std::uint64_t request, const job_answer &answer) = 0;
+};
+
+/// What a dispatcher has counted.
+struct dispatch_counters {
+    std::uint64_t admitted = 0;
+    std::uint64_t orders = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t failedRuns = 0;
+    std::uint64_t refusedOrders = 0;
+    std::uint64_t abandoned = 0;
+    std::uint64_t answers[6] = {};
+};
+
+/**
+ * Owns the jobs that an entry admitted: decides who is served, orders their runs, retries what ended without success, and answers.
+ *
+ * Jobs live in memory only. A job whose caller is gone, whose time is over or that has failed is ended early, and no run of it is
+ * repeated before the earlier one is known to be over.
+ */
+class job_dispatcher : public run_listener
+{
+public:
+    job_dispatcher(const time_source &time,
+                   worker_pool &pool,
+                   placement_policy &placement,
+                   const admission_policy &admission,
+                   answer_sink &answers,
+                   decision_journal &journal);
+
+    /// Takes a request to run a job by the deadline. It is answered through the sink, perhaps at once.
+    void submit(std::uint64_t request, job_spec spec, const route &rule, steady_time deadline);
+
+    /// The caller of a request has left.
+    void abandon(std::uint64_t request);
+
+    /// Cancels the job. Returns whether it was known.
+    bool cancel(const std::string &id);
+
+    /// Returns whether the job is known and not answered.
+    bool isActive(const std::string &id) const;
+
+    /// Returns the number of the queue's jobs of which no task has started.
+    std::size_t pending(const std::string &queue) const;
+
+    void endRun(const task_reference &task, run_outcome outcome, const std::string &agent) override;
+
+    /// Orders runs for waiting tasks as far as there is room. To be called when room or work may have come.
+    void placeWaiting();
+
+    /// Ends what is out of time; to be called often.
+    void tick();
+
+    /// Sets how many entries share the workers, this one included.
+    void setEntryCount(std::size_t entries);
+
+    /// Returns the number of jobs that are not over.
+    std::size_t activeJobs() const;
+
+    const dispatch_counters &counters() const;
+
+private:
+    using queue_key = std::pair<steady_time, std::uint64_t>;
+
+    static queue_key keyOf(const active_job &job);
+    admission_load loadFor(const active_job &job) const;
+    bool refuseAtOnce(const active_job &job, std::uint64_t request);
+    bool isHopeless(const active_job &job) const;
+    void endSuccessfulRun(active_job &job, std::uint32_t task);
+    void endUnsuccessfulRun(active_job &job, active_task &task, run_outcome outcome, const std::string &agent);
+    bool placeTasks(active_job &job);
+    std::set<std::string> agentsAtLimit(const active_job &job, std::uint32_t step) const;
+    void confirm(active_job &job);
+    void finish(active_job &job, const job_answer &answer);
+    void forgetIfOver(active_job &job);
+    job_answer refusal(answer_kind kind, const std::string &reason, microseconds wait) const;
+    void answerOne(std::uint64_t request, const active_job &job, const job_answer &answer);
+
+    const time_source &m_time;
+    worker_pool &m_pool;
+    placement_policy &m_placement;
+    const admission_policy &m_admission;
+    answer_sink &m_answers;
+    decision_journal &m_journal;
+    std::map<std::uint64_t, active_job> m_jobs;
+    std::map<std::string, std::uint64_t> m_byId;
+    std::map<std::uint64_t, std::uint64_t> m_byRequest;
+    /// Jobs with waiting tasks, the most urgent first.
+    std::set<queue_key> m_waiting;
+    std::uint64_t m_nextJob = 1;
+    std::size_t m_entries = 1;
+    dispatch_counters m_counters;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/dispatch/placement_policy.h
@@ -0,0 +1,62 @@
+#ifndef AZUREMOOR_DISPATCH_PLACEMENT_POLICY_H
+#define AZUREMOOR_DISPATCH_PLACEMENT_POLICY_H
+
+#include <random>
+#include <set>
+#include <string>
+
+#include "dispatch/job_spec.h"
+#include "dispatch/worker_pool.h"
+
+namespace azuremoor
+{
+
+/// What a task asks of its worker.
+struct placement_request {
+    const step_spec *step = nullptr;
+    std::string service;
+    /// Worker to avoid if another has room, since the task's last run ended there; empty for none.
+    std::string avoidedAgent;
+    /// Agents that may not get the task.
+    std::set<std::string> excludedAgents{};
+};
+
+/// Chooses the worker for a task.
+class placement_policy
+{
+public:
+    virtual ~placement_policy() = default;
+
+    /// Returns the worker for the task, or null when none has room now.
+    virtual worker_view *choose(worker_pool &pool, const placement_request &request) = 0;
+
+    /// Returns whether some worker could run the task if it were idle.
+    virtual bool couldRun(const worker_pool &pool, const placement_request &request) const = 0;
+};
+
+/**
+ * Chooses the worker on which the task is expected to be done first.
+ *
+ * Answers to slow workers, to workers that fail what they start while their health is good, and to long ways between data centres.
+ */
+class earliest_done_placement : public placement_policy
+{
+public:
+    /// Takes the data centre of this entry, the factor by which work away from its data takes longer, and a seed for ties.
+    earliest_done_placement(const time_source &time, std::string dataCentre, double remoteFactor, std::uint64_t seed);
+
+    worker_view *choose(worker_pool &pool, const placement_request &request) override;
+    bool couldRun(const worker_pool &pool, const placement_request &request) const override;
+
+private:
+    double expectedMicroseconds(const worker_view &worker, const step_spec &step);
+
+    const time_source &m_time;
+    std::string m_dataCentre;
+    double m_remoteFactor;
+    std::mt19937_64 m_random;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/dispatch/route_table.cpp
@@ -0,0 +1,39 @@
+#include "dispatch/route_table.h"
+
+#include <algorithm>
+
+namespace azuremoor
+{
+
+bool route_table::replace(routing next)
+{
+    if (next.version <= m_routing.version) {
+        return false;
+    }
+    // The longest prefix comes first, so that a search can end at the first match.
+    std::stable_sort(next.routes.begin(), next.routes.end(), [](const route &first, const route &second) {
+        return first.pathPrefix.size() > second.pathPrefix.size();
+    });
+    m_routing = std::move(next);
+    return true;
+}
+
+const route *route_table::find(std::string_view host, std::string_view path) const
+{
+    const auto found = std::find_if(m_routing.routes.begin(), m_routing.routes.end(), [host, path](const route &candidate) {
+        return candidate.host == host && path.starts_with(candidate.pathPrefix);
+    });
+    return found == m_routing.routes.end() ? nullptr : &*found;
+}
+
+std::uint64_t route_table::version() const
+{
+    return m_routing.version;
+}
+
+std::size_t route_table::size() const
+{
+    return m_routing.routes.size();
+}
+
+}
--- /dev/null
+++ b/src/dispatch/worker_performance.cpp
@@ -0,0 +1,56 @@
+#include "dispatch/worker_performance.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azuremoor
+{
+
+namespace
+{
+
+/// Weight of the latest run in the averages.
+constexpr double SLOWNESS_WEIGHT = 0.1;
+constexpr double FAILURE_WEIGHT = 0.25;
+
+/// Bounds on what one run can say about slowness, as a logarithm.
+constexpr double MAX_LOG_SLOWNESS = 3;
+
+/// Time in which the memory of failures halves, so that a worker that recovered is tried again.
+constexpr microseconds FAILURE_HALF_LIFE = seconds(2);
+
+}
+
+void worker_performance::noteDone(microseconds estimate, microseconds observed, steady_time now)
+{
+    noteOutcome(0, now);
+    if (estimate <= microseconds(0) || observed <= microseconds(0)) {
+        return;
+    }
+    const double ratio = std::log(static_cast<double>(observed.count()) / static_cast<double>(estimate.count()));
+    m_logSlowness += SLOWNESS_WEIGHT * (std::clamp(ratio, -MAX_LOG_SLOWNESS, MAX_LOG_SLOWNESS) - m_logSlowness);
+}
+
+void worker_performance::noteFailed(steady_time now)
+{
+    noteOutcome(1, now);
+}
+
+double worker_performance::slowness() const
+{
+    return std::exp(m_logSlowness);
+}
+
+double worker_performance::failureRate(steady_time now) const
+{
+    const double halfLives = static_cast<double>((now - m_lastOutcome).count()) / static_cast<double>(FAILURE_HALF_LIFE.count());
+    return m_failureRate * std::exp2(-std::max(halfLives, 0.0));
+}
+
+void worker_performance::noteOutcome(double failed, steady_time now)
+{
+    m_failureRate += FAILURE_WEIGHT * (failed - m_failureRate);
+    m_lastOutcome = now;
+}
+
+}
--- /dev/null
+++ b/src/dispatch/worker_pool.cpp
@@ -0,0 +1,258 @@
+#include "dispatch/worker_pool.h"
+
+#include <algorithm>
+
+namespace azuremoor
+{
+
+namespace
+{
+
+/// Time after which a worker that is gone and owes no result is forgotten.
+constexpr microseconds FORGET_AFTER = seconds(30);
+
+std::uint32_t lessOrZero(std::uint32_t value, std::uint32_t subtracted)
+{
+    return value - std::min(value, subtracted);
+}
+
+}
+
+task_shape worker_view::freeRoom() const
+{
+    task_shape free = status.free;
+    for (auto run = runs.upper_bound(status.appliedOrder); run != runs.end(); ++run) {
+        free.milliCores = lessOrZero(free.milliCores, run->second.shape.milliCores);
+        free.memoryMegabytes = lessOrZero(free.memoryMegabytes, run->second.shape.memoryMegabytes);
+        free.accelerators = lessOrZero(free.accelerators, run->second.shape.accelerators);
+    }
+    return free;
+}
+
+worker_pool::worker_pool(const time_source &time, silence_rules rules, peer_outbox &outbox, decision_journal &journal)
+    : m_time(time)
+    , m_rules(rules)
+    , m_outbox(outbox)
+    , m_journal(journal)
+{
+}
+
+void worker_pool::setListener(run_listener &listener)
+{
+    m_listener = &listener;
+}
+
+void worker_pool::connectAgent(const hello &agent)
+{
+    worker_view &worker = m_workers[agent.name];
+    if (worker.incarnation != agent.incarnation) {
+        orphanRuns(worker);
+    }
+    const bool restarted = worker.incarnation != 0 && worker.incarnation != agent.incarnation;
+    worker.agent = agent.name;
+    worker.incarnation = agent.incarnation;
+    worker.dataCentre = agent.dataCentre;
+    worker.connected = true;
+    worker.awaitingStatus = true;
+    worker.lastAnswered = m_time.steadyNow();
+    m_journal.note("agent_connected", {{"agent", agent.name}, {"restarted", restarted ? "yes" : "no"}});
+}
+
+void worker_pool::disconnectAgent(const std::string &agent)
+{
+    const auto found = m_workers.find(agent);
+    if (found == m_workers.end()) {
+        return;
+    }
+    found->second.connected = false;
+    m_journal.note("agent_disconnected", {{"agent", agent}, {"runs", std::to_string(found->second.runs.size())}});
+}
+
+void worker_pool::noteHeartbeat(const std::string &agent)
+{
+    const auto found = m_workers.find(agent);
+    if (found != m_workers.end()) {
+        found->second.lastAnswered = m_time.steadyNow();
+    }
+}
+
+void worker_pool::updateStatus(const std::string &agent, const worker_status &status)
+{
+    const auto found = m_workers.find(agent);
+    if (found == m_workers.end()) {
+        return;
+    }
+    worker_view &worker = found->second;
+    if (worker.awaitingStatus) {
+        worker.awaitingStatus = false;
+        dropUnknownOrders(worker, status.appliedOrder);
+    }
+    if (worker.status.worker != status.worker) {
+        worker.performance = {};
+    }
+    const bool changed = worker.status.ready != status.ready || worker.status.draining != status.draining;
+    worker.status = status;
+    if (status.ready) {
+        endOrphans(worker, "successor ready");
+    }
+    worker.statusAt = m_time.steadyNow();
+    if (changed) {
+        m_journal.note("worker_state",
+                       {{"agent", agent},
+                        {"worker", status.worker},
+                        {"ready", status.ready ? "yes" : "no"},
+                        {"draining", status.draining ? "yes" : "no"}});
+    }
+}
+
+void worker_pool::receiveResults(const std::string &agent, const run_results &results)
+{
+    const auto found = m_workers.find(agent);
+    if (found == m_workers.end()) {
+        return;
+    }
+    worker_view &worker = found->second;
+    std::uint64_t number = results.firstNumber;
+    for (const run_result &result : results.results) {
+        if (number > worker.lastResult) {
+            worker.lastResult = number;
+            endRun(worker, result.sequence, result.outcome);
+        }
+        ++number;
+    }
+    m_outbox.send(agent, run_results_received{worker.lastResult});
+}
+
+void worker_pool::order(worker_view &worker, const task_reference &task, run_order order, microseconds estimate)
+{
+    order.sequence = ++worker.lastOrder;
+    worker.runs[order.sequence] = {task, order.shape, estimate, m_time.steadyNow(), false};
+    start_runs &batch = m_orders[worker.agent];
+    batch.worker = worker.status.worker;
+    batch.orders.push_back(std::move(order));
+}
+
+void worker_pool::stopRuns(std::uint64_t job)
+{
+    for (auto &[agent, worker] : m_workers) {
+        for (auto &[sequence, run] : worker.runs) {
+            if (run.task.job == job && !run.stopping) {
+                stopRun(worker, sequence);
+            }
+        }
+    }
+}
+
+void worker_pool::stopRun(worker_view &worker, std::uint64_t sequence)
+{
+    worker.runs.at(sequence).stopping = true;
+    m_stops[worker.agent].sequences.push_back(sequence);
+}
+
+void worker_pool::flush()
+{
+    for (auto &[agent, orders] : m_orders) {
+        m_outbox.send(agent, std::move(orders));
+    }
+    m_orders.clear();
+    for (auto &[agent, stops] : m_stops) {
+        m_outbox.send(agent, std::move(stops));
+    }
+    m_stops.clear();
+}
+
+void worker_pool::tick()
+{
+    const steady_time now = m_time.steadyNow();
+    for (auto &[agent, worker] : m_workers) {
+        if (!worker.runs.empty() && now >= worker.lastAnswered + m_rules.runsEnded) {
+            endSilentRuns(worker);
+        }
+        if (!worker.orphans.empty() && now >= worker.orphansEndBy) {
+            endOrphans(worker, "lease expired");
+        }
+    }
+    std::erase_if(m_workers, [now](const auto &entry) {
+        const worker_view &worker = entry.second;
+        return !worker.connected && worker.runs.empty() && worker.orphans.empty() && now >= worker.lastAnswered + FORGET_AFTER;
+    });
+}
+
+bool worker_pool::isUsable(const worker_view &worker) const
+{
+    return worker.connected && !worker.awaitingStatus && worker.status.ready && !worker.status.draining
+        && m_time.steadyNow() < worker.lastAnswered + m_rules.suspicion;
+}
+
+std::map<std::string, worker_view> &worker_pool::workers()
+{
+    return m_workers;
+}
+
+const std::map<std::string, worker_view> &worker_pool::workers() const
+{
+    return m_workers;
+}
+
+void worker_pool::orphanRuns(worker_view &worker)
+{
+    for (const auto &[sequence, run] : worker.runs) {
+        worker.orphans.push_back(run);
+    }
+    if (!worker.runs.empty()) {
+        worker.orphansEndBy = std::max(worker.orphansEndBy, worker.lastAnswered + m_rules.runsEnded);
+    }
+    worker.runs.clear();
+    worker.lastOrder = 0;
+    worker.lastResult = 0;
+    worker.status = {};
+}
+
+void worker_pool::endOrphans(worker_view &worker, const std::string &reason)
+{
+    if (worker.orphans.empty()) {
+        return;
+    }
+    m_journal.note("runs_presumed_ended",
+                   {{"agent", worker.agent}, {"reason", reason}, {"runs", std::to_string(worker.orphans.size())}});
+    const std::vector<worker_view::outstanding_run> orphans = std::move(worker.orphans);
+    worker.orphans.clear();
+    for (const worker_view::outstanding_run &run : orphans) {
+        m_listener->endRun(run.task, run_outcome::lapsed, worker.agent);
+    }
+}
+
+void worker_pool::endSilentRuns(worker_view &worker)
+{
+    m_journal.note("runs_presumed_ended",
+                   {{"agent", worker.agent}, {"reason", "agent silent"}, {"runs", std::to_string(worker.runs.size())}});
+    while (!worker.runs.empty()) {
+        endRun(worker, worker.runs.begin()->first, run_outcome::lapsed);
+    }
+}
+
+void worker_pool::endRun(worker_view &worker, std::uint64_t sequence, run_outcome outcome)
+{
+    const auto found = worker.runs.find(sequence);
+    if (found == worker.runs.end()) {
+        return;
+    }
+    const worker_view::outstanding_run run = found->second;
+    worker.runs.erase(found);
+    const steady_time now = m_time.steadyNow();
+    if (outcome == run_outcome::done) {
+        worker.performance.noteDone(run.estimate, now - run.orderedAt, now);
+    } else if (outcome == run_outcome::failed) {
+        worker.performance.noteFailed(now);
+    }
+    m_listener->endRun(run.task, outcome, worker.agent);
+}
+
+void worker_pool::dropUnknownOrders(worker_view &worker, std::uint64_t appliedOrder)
+{
+    while (!worker.runs.empty() && worker.runs.rbegin()->first > appliedOrder) {
+        endRun(worker, worker.runs.rbegin()->first, run_outcome::closed);
+    }
+}
+
+}
--- /dev/null
+++ b/src/dispatch/worker_pool.h
@@ -0,0 +1,146 @@
+#ifndef AZUREMOOR_DISPATCH_WORKER_POOL_H
+#define AZUREMOOR_DISPATCH_WORKER_POOL_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/decision_journal.h"
+#include "base/time_source.h"
+#include "dispatch/worker_performance.h"
+#include "fleet/peer_outbox.h"
+
+namespace azuremoor
+{
+
+/// Names a task among the jobs of this entry.
+struct task_reference {
+    /// Number of the job at this entry.
+    std::uint64_t job = 0;
+    /// Position of the task in its job.
+    std::uint32_t task = 0;
+};
+
+/// Learns how runs ended, and that there may be room again.
+class run_listener
+{
+public:
+    virtual ~run_listener() = default;
+
+    /// The run of a task ended or never began. It is certain that it is not under way any more.
+    virtual void endRun(const task_reference &task, run_outcome outcome, const std::string &agent) = 0;
+};
+
+/// One worker as an entry sees it, through the agent beside it.
+struct worker_view {
+    /// A run that was ordered and has no result yet.
+    struct outstanding_run {
+        task_reference task;
+        task_shape shape;
+        microseconds estimate{0};
+        steady_time orderedAt;
+        bool stopping = false;
+    };
+
+    std::string agent;
+    std::uint64_t incarnation = 0;
+    std::string dataCentre;
+    bool connected = false;
+    /// The first status on this connection is still to come; it tells which orders arrived.
+    bool awaitingStatus = true;
+    worker_status status;
+    steady_time statusAt;
+    /// When the agent's latest heartbeat was answered. The agent's lease ends a fixed time after it at most.
+    steady_time lastAnswered;
+    std::uint64_t lastOrder = 0;
+    std::uint64_t lastResult = 0;
+    std::map<std::uint64_t, outstanding_run> runs;
+    /// Runs that an earlier process of the agent was ordered. They are over once its successor reports ready.
+    std::vector<outstanding_run> orphans;
+    steady_time orphansEndBy;
+    worker_performance performance;
+
+    /// Returns the room that is left once all orders that are under way have arrived.
+    task_shape freeRoom() const;
+};
+
+/// Times after which an entry may draw conclusions from silence.
+struct silence_rules {
+    /// Time from an entry's last answer to an agent until none of its runs can be under way there.
+    microseconds runsEnded = milliseconds(1250);
+    /// Age of the last heartbeat from which on an agent gets no new runs.
+    microseconds suspicion = milliseconds(350);
+};
+
+/**
+ * The workers that an entry can use, and the runs that it has ordered there.
+ *
+ * Room is what the agents report, less the orders that their reports do not account for yet. An agent decides for itself whether an
+ * order fits.
+ */
+class worker_pool
+{
+public:
+    worker_pool(const time_source &time, silence_rules rules, peer_outbox &outbox, decision_journal &journal);
+
+    /// Sets who is told about runs. It must outlive the pool.
+    void setListener(run_listener &listener);
+
+    /// An agent introduced itself on a new connection.
+    void connectAgent(const hello &agent);
+
+    /// The connection to the agent is gone.
+    void disconnectAgent(const std::string &agent);
+
+    /// A heartbeat of the agent is being answered.
+    void noteHeartbeat(const std::string &agent);
+
+    /// The agent told about its worker.
+    void updateStatus(const std::string &agent, const worker_status &status);
+
+    /// The agent told how runs ended.
+    void receiveResults(const std::string &agent, const run_results &results);
+
+    /// Orders a run from the agent. The order leaves with the next flush.
+    void order(worker_view &worker, const task_reference &task, run_order order, microseconds estimate);
+
+    /// Asks for an early end of the runs of a job's tasks. Their results still come.
+    void stopRuns(std::uint64_t job);
+
+    /// Asks for an early end of one run that stands still.
+    void stopRun(worker_view &worker, std::uint64_t sequence);
+
+    /// Sends the orders that have been collected.
+    void flush();
+
+    /// Draws conclusions from silence; to be called often.
+    void tick();
+
+    /// Returns whether the worker may get new runs.
+    bool isUsable(const worker_view &worker) const;
+
+    /// Returns all workers, by agent.
+    std::map<std::string, worker_view> &workers();
+    const std::map<std::string, worker_view> &workers() const;
+
+private:
+    void orphanRuns(worker_view &worker);
+    void endOrphans(worker_view &worker, const std::string &reason);
+    void endSilentRuns(worker_view &worker);
+    void endRun(worker_view &worker, std::uint64_t sequence, run_outcome outcome);
+    void dropUnknownOrders(worker_view &worker, std::uint64_t appliedOrder);
+
+    const time_source &m_time;
+    silence_rules m_rules;
+    peer_outbox &m_outbox;
+    decision_journal &m_journal;
+    run_listener *m_listener = nullptr;
+    std::map<std::string, worker_view> m_workers;
+    std::map<std::string, start_runs> m_orders;
+    std::map<std::string, stop_runs> m_stops;
+};
+
+}
+
+#endif
--- a/src/messages/codec.cpp
+++ b/src/messages/codec.cpp
@@ -67,6 +67,13 @@
     "job_reply",
     "table_handover",
     "handover_received",
+    "start_runs",
+    "stop_runs",
+    "run_results",
+    "run_results_received",
+    "worker_status",
+    "known_entries",
+    "routing_update",
 };
 static_assert(MESSAGE_NAMES.size() == std::variant_size_v<message>);
 
--- a/src/messages/messages.h
+++ b/src/messages/messages.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "messages/job_request.h"
+#include "messages/run_messages.h"
 
 namespace azuremoor
 {
@@ -680,7 +681,14 @@
                              forwarded_query,
                              job_reply,
                              table_handover,
-                             handover_received>;
+                             handover_received,
+                             start_runs,
+                             stop_runs,
+                             run_results,
+                             run_results_received,
+                             worker_status,
+                             known_entries,
+                             routing_update>;
 
 /// Returns the name of the message's type, for counters and logs.
 std::string_view messageName(const message &value);
--- /dev/null
+++ b/src/runs/run_agent.cpp
@@ -0,0 +1,239 @@
+#include "runs/run_agent.h"
+
+#include <algorithm>
+
+namespace azuremoor
+{
+
+namespace
+{
+
+/// Time after which a session without a lease and without a connection is forgotten.
+constexpr microseconds FORGET_AFTER = seconds(20);
+
+/// Interval at which entries learn the progress of their runs.
+constexpr milliseconds PROGRESS_INTERVAL{100};
+
+}
+
+run_agent::run_agent(const time_source &time, lease_rules rules, worker_port &port, peer_outbox &outbox, decision_journal &journal)
+    : m_time(time)
+    , m_rules(rules)
+    , m_outbox(outbox)
+    , m_journal(journal)
+    , m_supervisor(time, rules, port, *this, journal)
+{
+}
+
+void run_agent::connectEntry(const hello &entry)
+{
+    const std::string name = sessionName(entry.name, entry.incarnation);
+    for (auto &[otherName, other] : m_sessions) {
+        if (other.entry == entry.name && otherName != name && !other.expired) {
+            endSession(other, "the entry restarted");
+        }
+    }
+    auto [position, isNew] = m_sessions.try_emplace(name);
+    entry_session &session = position->second;
+    if (isNew) {
+        session.entry = entry.name;
+        session.incarnation = entry.incarnation;
+        // The introduction shows that the entry is alive, but not since when; a heartbeat tells.
+        session.expired = true;
+    }
+    session.connected = true;
+    session.sentResults = 0;
+    m_current[entry.name] = name;
+    m_journal.note("entry_connected", {{"entry", entry.name}, {"new_session", isNew ? "yes" : "no"}});
+    sendStatus(session);
+    m_outbox.send(entry.name, ping{m_time.steadyNow().time_since_epoch().count(), 0});
+}
+
+void run_agent::disconnectEntry(const std::string &entry)
+{
+    if (entry_session *session = sessionOf(entry)) {
+        session->connected = false;
+        m_journal.note("entry_disconnected", {{"entry", entry}});
+    }
+    m_current.erase(entry);
+}
+
+void run_agent::handleMessage(const std::string &entry, const message &value)
+{
+    entry_session *session = sessionOf(entry);
+    if (session == nullptr) {
+        return;
+    }
+    expireSessions();
+    if (const auto *answer = std::get_if<pong>(&value)) {
+        const steady_time leaseEnd = steady_time(microseconds(answer->echoedMicroseconds)) + m_rules.entryLease;
+        if (leaseEnd > m_time.steadyNow()) {
+            session->leaseEnd = std::max(session->leaseEnd, leaseEnd);
+            session->expired = false;
+        }
+    } else if (const auto *orders = std::get_if<start_runs>(&value)) {
+        startRuns(*session, *orders);
+    } else if (const auto *stops = std::get_if<stop_runs>(&value)) {
+        stopRuns(*session, *stops);
+    } else if (const auto *received = std::get_if<run_results_received>(&value)) {
+        acknowledge(*session, received->lastNumber);
+    }
+}
+
+void run_agent::sendHeartbeats()
+{
+    const std::int64_t now = m_time.steadyNow().time_since_epoch().count();
+    for (const auto &[entry, name] : m_current) {
+        m_outbox.send(entry, ping{now, 0});
+    }
+}
+
+void run_agent::tick()
+{
+    expireSessions();
+    m_supervisor.tick();
+}
+
+void run_agent::flush()
+{
+    const steady_time now = m_time.steadyNow();
+    const bool isProgressDue = now >= m_nextProgress && m_supervisor.size() > 0;
+    if (isProgressDue) {
+        m_nextProgress = now + PROGRESS_INTERVAL;
+    }
+    for (auto &[name, session] : m_sessions) {
+        if (!session.connected) {
+            continue;
+        }
+        sendResults(session);
+        if (m_statusChanged || isProgressDue) {
+            sendStatus(session);
+        }
+    }
+    m_statusChanged = false;
+}
+
+void run_agent::beginStop()
+{
+    m_supervisor.close();
+}
+
+bool run_agent::isIdle() const
+{
+    return m_supervisor.size() == 0 && std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) {
+               return !entry.second.connected || entry.second.results.empty();
+           });
+}
+
+void run_agent::endRun(const std::string &session, std::uint64_t sequence, run_outcome outcome)
+{
+    const auto found = m_sessions.find(session);
+    if (found != m_sessions.end()) {
+        found->second.results.push_back({sequence, outcome});
+    }
+    m_statusChanged = true;
+}
+
+void run_agent::changeWorker()
+{
+    m_statusChanged = true;
+}
+
+run_supervisor &run_agent::supervisor()
+{
+    return m_supervisor;
+}
+
+const run_supervisor &run_agent::supervisor() const
+{
+    return m_supervisor;
+}
+
+std::size_t run_agent::liveSessions() const
+{
+    return std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto &entry) { return !entry.second.expired; });
+}
+
+std::string run_agent::sessionName(const std::string &entry, std::uint64_t incarnation)
+{
+    return entry + '#' + std::to_string(incarnation);
+}
+
+entry_session *run_agent::sessionOf(const std::string &entry)
+{
+    const auto found = m_current.find(entry);
+    return found == m_current.end() ? nullptr : &m_sessions.at(found->second);
+}
+
+void run_agent::startRuns(entry_session &session, const start_runs &orders)
+{
+    const std::string name = sessionName(session.entry, session.incarnation);
+    for (const run_order &order : orders.orders) {
+        session.appliedOrder = std::max(session.appliedOrder, order.sequence);
+        if (session.expired) {
+            endRun(name, order.sequence, run_outcome::closed);
+        } else {
+            m_supervisor.start(name, orders.worker, order);
+        }
+    }
+    m_statusChanged = true;
+}
+
+void run_agent::stopRuns(const entry_session &session, const stop_runs &stops)
+{
+    const std::string name = sessionName(session.entry, session.incarnation);
+    for (const std::uint64_t sequence : stops.sequences) {
+        m_supervisor.stop(name, sequence);
+    }
+}
+
+void run_agent::acknowledge(entry_session &session, std::uint64_t lastNumber)
+{
+    while (!session.results.empty() && session.firstResult <= lastNumber) {
+        session.results.pop_front();
+        ++session.firstResult;
+        session.sentResults -= std::min<std::size_t>(session.sentResults, 1);
+    }
+}
+
+void run_agent::expireSessions()
+{
+    const steady_time now = m_time.steadyNow();
+    for (auto &[name, session] : m_sessions) {
+        if (!session.expired && now >= session.leaseEnd) {
+            endSession(session, "no answer to heartbeats");
+        }
+    }
+    std::erase_if(m_sessions, [now](const auto &entry) {
+        return entry.second.expired && !entry.second.connected && now >= entry.second.leaseEnd + FORGET_AFTER;
+    });
+}
+
+void run_agent::endSession(entry_session &session, const std::string &reason)
+{
+    session.expired = true;
+    m_journal.note("entry_lease_ended", {{"entry", session.entry}, {"reason", reason}});
+    m_supervisor.stopAll(sessionName(session.entry, session.incarnation));
+}
+
+void run_agent::sendResults(entry_session &session)
+{
+    if (session.sentResults >= session.results.size()) {
+        return;
+    }
+    run_results unsent;
+    unsent.firstNumber = session.firstResult + session.sentResults;
+    unsent.results.assign(session.results.begin() + static_cast<std::ptrdiff_t>(session.sentResults), session.results.end());
+    session.sentResults = session.results.size();
+    m_outbox.send(session.entry, std::move(unsent));
+}
+
+void run_agent::sendStatus(const entry_session &session)
+{
+    worker_status status = m_supervisor.status();
+    status.appliedOrder = session.appliedOrder;
+    status.progress = m_supervisor.progress(sessionName(session.entry, session.incarnation));
+    m_outbox.send(session.entry, std::move(status));
+}
+
+}
--- /dev/null
+++ b/src/runs/run_supervisor.h
@@ -0,0 +1,144 @@
+#ifndef AZUREMOOR_RUNS_RUN_SUPERVISOR_H
+#define AZUREMOOR_RUNS_RUN_SUPERVISOR_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/decision_journal.h"
+#include "runs/worker_port.h"
+
+namespace azuremoor
+{
+
+/// Times that bound how long a run outlives those who want it.
+struct lease_rules {
+    /// Length of a worker's lease, from its last renewal.
+    milliseconds workerLease{600};
+    /// Length of an entry's lease at an agent, from the sending of the last heartbeat that it answered.
+    milliseconds entryLease{450};
+    /// Time after which an order without an answer counts as unknown.
+    milliseconds orderTimeout{150};
+    /// Interval at which a lease is renewed at least.
+    milliseconds renewal{150};
+
+    /// Returns the time from an entry's last sign of life until none of its runs can be under way, with a clock that is 2% slow.
+    microseconds runsEndedAfter() const;
+};
+
+/// Learns how runs ended.
+class supervisor_listener
+{
+public:
+    virtual ~supervisor_listener() = default;
+
+    /// A run ended, or never began and cannot begin any more.
+    virtual void endRun(const std::string &session, std::uint64_t sequence, run_outcome outcome) = 0;
+
+    /// Room, readiness or the worker itself changed.
+    virtual void changeWorker() = 0;
+};
+
+/**
+ * Runs tasks on the one worker of this machine: keeps its room, its lease and the state of each run.
+ *
+ * A run counts as under way from before its order is sent until the worker lists its end, or until it is proved that it cannot begin any
+ * more. An order without an answer is taken back by a stop, which the worker remembers.
+ */
+class run_supervisor
+{
+public:
+    run_supervisor(const time_source &time, lease_rules rules, worker_port &port, supervisor_listener &listener, decision_journal &journal);
+    ~run_supervisor();
+
+    /// Takes a report. Returns whether it names the present life of the worker.
+    bool takeReport(const worker_report &report);
+
+    /// The worker said that this life of it ends now.
+    void takeLeave(const std::string &worker);
+
+    /// Orders a run for a session, or ends it at once when it cannot begin.
+    void start(const std::string &session, const std::string &worker, const run_order &order);
+
+    /// Ends a run of a session early.
+    void stop(const std::string &session, std::uint64_t sequence);
+
+    /// Ends all runs of a session early.
+    void stopAll(const std::string &session);
+
+    /// Takes no further runs: this process is about to stop.
+    void close();
+
+    /// Renews the lease and repeats orders without an answer; to be called often.
+    void tick();
+
+    /// Returns what entries are told of the worker, without what concerns one of them.
+    worker_status status() const;
+
+    /// Returns the progress of a session's runs.
+    std::vector<run_progress> progress(const std::string &session) const;
+
+    /// Returns the number of runs that may be under way.
+    std::size_t size() const;
+
+    /// Returns whether the worker is known and holds its lease.
+    bool isReady() const;
+
+private:
+    enum class run_state : std::uint8_t {
+        ordered,
+        running,
+        stopping,
+    };
+    struct supervised_run {
+        std::string session;
+        std::uint64_t sequence = 0;
+        task_shape shape;
+        run_state state = run_state::ordered;
+        /// On the worker's clock: an order that arrives later is refused.
+        worker_milliseconds orderDeadline = 0;
+        /// The worker has confirmed a stop, so that the run cannot begin any more.
+        bool isStopConfirmed = false;
+        /// Number of the first renewal whose list is certain to show the run if it is under way.
+        std::uint64_t settledBy = 0;
+        steady_time nextStop;
+        std::uint8_t percent = 0;
+    };
+    struct known_worker;
+    using run_map = std::map<run_key, supervised_run>;
+
+    void adopt(const worker_report &report);
+    void loseWorker(run_outcome outcome, const std::string &reason);
+    void finishStart(const std::string &worker, const run_key &key, order_reply reply, worker_milliseconds clock);
+    void finishStop(const std::string &worker, const run_key &key, order_reply reply);
+    void sendStop(const run_key &key, supervised_run &run);
+    void renew(milliseconds wait);
+    void finishRenewal(const std::string &worker, std::uint64_t number, const lease_reply &reply);
+    void takeEnds(const std::vector<listed_end> &ends);
+    void compareActive(std::uint64_t number, const lease_reply &reply);
+    void stopForeign(const std::vector<listed_run> &active);
+    void noteClock(worker_milliseconds clock);
+    void checkLapse();
+    bool isAnswering() const;
+    worker_milliseconds clockNow() const;
+    task_shape usedRoom() const;
+    void end(run_map::iterator run, run_outcome outcome);
+    order_context context() const;
+
+    const time_source &m_time;
+    lease_rules m_rules;
+    worker_port &m_port;
+    supervisor_listener &m_listener;
+    decision_journal &m_journal;
+    std::unique_ptr<known_worker> m_worker;
+    std::set<std::string> m_formerWorkers;
+    run_map m_runs;
+    bool m_closed = false;
+};
+
+}
+
+#endif
--- a/src/settings/settings_parser.cpp
+++ b/src/settings/settings_parser.cpp
@@ -79,6 +79,11 @@
     return finish(m_app.add_option(flag, value, help)->check(CLI::Range(lowest, highest)), flag);
 }
 
+CLI::Option *settings_parser::addFraction(const std::string &flag, double &value, double lowest, double highest, const std::string &help)
+{
+    return finish(m_app.add_option(flag, value, help)->check(CLI::Range(lowest, highest)), flag);
+}
+
 CLI::Option *settings_parser::addAddress(const std::string &flag, std::string &value, const std::string &help)
 {
     return finish(m_app.add_option(flag, value, help)->check(CLI::Validator(checkAddress, "IP:PORT")), flag);
--- a/src/settings/settings_parser.h
+++ b/src/settings/settings_parser.h
@@ -36,6 +36,9 @@
     CLI::Option *
     addNumber(const std::string &flag, std::int64_t &value, std::int64_t lowest, std::int64_t highest, const std::string &help);
 
+    /// Declares a number that may have a fraction, within bounds.
+    CLI::Option *addFraction(const std::string &flag, double &value, double lowest, double highest, const std::string &help);
+
     /// Declares an address by IP number and port.
     CLI::Option *addAddress(const std::string &flag, std::string &value, const std::string &help);
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -166,7 +166,8 @@
         evhttp_add_header(headers, name.c_str(), value.c_str());
     }
     evbuffer_add(evhttp_request_get_output_buffer(request), outgoing.body.data(), outgoing.body.size());
-    evhttp_connection_set_timeout(link.link, static_cast<int>(outgoing.timeout.count()));
+    const timeval timeout{outgoing.timeout.count() / 1000, (outgoing.timeout.count() % 1000) * 1000};
+    evhttp_connection_set_timeout_tv(link.link, &timeout);
     if (evhttp_make_request(link.link, request, commandOf(outgoing.method), outgoing.path.c_str()) != 0 && link.work != nullptr) {
         link.work->error = "the connection failed";
         finish(link, nullptr);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -37,7 +37,7 @@
     std::string path = "/";
     std::map<std::string, std::string> headers;
     std::string body;
-    seconds timeout{5};
+    milliseconds timeout{5000};
 };
 
 /// An answer of an HTTP server.
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -10,6 +10,7 @@
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <strings.h>
 #include <sys/socket.h>
 
 namespace azuremoor
@@ -71,6 +72,11 @@
 
 }
 
+bool header_name_less::operator()(const std::string &first, const std::string &second) const
+{
+    return strcasecmp(first.c_str(), second.c_str()) < 0;
+}
+
 std::string http_request::queryOr(const std::string &key, const std::string &absent) const
 {
     const auto found = query.find(key);
@@ -87,10 +93,20 @@
     http_server *server = nullptr;
     std::uint64_t id = 0;
     evhttp_request *request = nullptr;
+    /// Watches for the client's end of the connection, which evhttp does not read while a request is unanswered.
+    event *hangUp = nullptr;
+
+    ~pending_request()
+    {
+        if (hangUp != nullptr) {
+            event_free(hangUp);
+        }
+    }
 };
 
 http_server::http_server(event_loop &loop, const socket_address &listen, http_limits limits, http_handler &handler)
-    : m_handler(handler)
+    : m_loop(loop)
+    , m_handler(handler)
     , m_http(evhttp_new(loop.base()))
 {
     evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(limits.maxBodyBytes));
@@ -167,10 +183,21 @@
 void http_server::closeCallback(evhttp_connection *, void *argument)
 {
     auto *pending = static_cast<pending_request *>(argument);
-    http_server *server = pending->server;
-    const std::uint64_t id = pending->id;
-    server->m_pending.erase(id);
-    server->m_handler.abandonRequest(id);
+    pending->server->abandon(pending->id);
+}
+
+void http_server::hangUpCallback(int, short, void *argument)
+{
+    auto *pending = static_cast<pending_request *>(argument);
+    evhttp_connection *connection = evhttp_request_get_connection(pending->request);
+    // Freeing the connection calls closeCallback, which forgets the request.
+    evhttp_connection_free(connection);
+}
+
+void http_server::abandon(std::uint64_t id)
+{
+    m_pending.erase(id);
+    m_handler.abandonRequest(id);
 }
 
 void http_server::receive(evhttp_request *request)
@@ -190,7 +217,11 @@
     pending->server = this;
     pending->id = received.id;
     pending->request = request;
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), closeCallback, pending.get());
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    evhttp_connection_set_closecb(connection, closeCallback, pending.get());
+    pending->hangUp
+        = event_new(m_loop.base(), bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), EV_CLOSED, hangUpCallback, pending.get());
+    event_add(pending->hangUp, nullptr);
     m_pending[received.id] = std::move(pending);
     m_handler.handleRequest(received);
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -18,6 +18,11 @@
 namespace azuremoor
 {
 
+/// Orders the names of headers without regard to case.
+struct header_name_less {
+    bool operator()(const std::string &first, const std::string &second) const;
+};
+
 /// A request of an HTTP client.
 struct http_request {
     /// Names the request until it is answered.
@@ -26,10 +31,10 @@
     /// Path without the query, percent-decoded.
     std::string path;
     std::map<std::string, std::string> query;
-    std::map<std::string, std::string> headers;
+    std::map<std::string, std::string, header_name_less> headers;
     std::string body;
 
-    /// Returns the value of the header, spelt as it was sent, or an empty text.
+    /// Returns the value of the header, or an empty text.
     std::string header(const std::string &name) const;
 
     /// Returns the value of the query parameter, or the given one when it is absent.
@@ -91,8 +96,11 @@
 
     static void requestCallback(evhttp_request *request, void *argument);
     static void closeCallback(evhttp_connection *connection, void *argument);
+    static void hangUpCallback(int, short, void *argument);
     void receive(evhttp_request *request);
+    void abandon(std::uint64_t id);
 
+    event_loop &m_loop;
     http_handler &m_handler;
     evhttp *m_http;
     evhttp_bound_socket *m_socket = nullptr;
--- a/src/transport/peer_mesh.cpp
+++ b/src/transport/peer_mesh.cpp
@@ -22,9 +22,6 @@
 /// Interval at which missing connections are made.
 constexpr milliseconds DIAL_INTERVAL{100};
 
-/// Time after which an accepted connection that carries nothing is closed.
-constexpr timeval SILENCE_TIMEOUT{3, 0};
-
 /// Time after which a connection whose peer acknowledges nothing is closed, in milliseconds.
 constexpr unsigned UNACKNOWLEDGED_TIMEOUT_MS = 3000;
 
@@ -73,9 +70,10 @@
 
 }
 
-peer_mesh::peer_mesh(event_loop &loop, hello self, const socket_address &listen, peer_handler &handler)
+peer_mesh::peer_mesh(event_loop &loop, hello self, const socket_address &listen, peer_handler &handler, milliseconds silenceTimeout)
     : m_loop(loop)
     , m_self(std::move(self))
+    , m_silenceTimeout{silenceTimeout.count() / 1000, (silenceTimeout.count() % 1000) * 1000}
     , m_handler(handler)
 {
     if (!listen.host.empty()) {
@@ -142,6 +140,14 @@
     found->second->send(value);
 }
 
+void peer_mesh::reset(const std::string &peer)
+{
+    const auto found = m_byName.find(peer);
+    if (found != m_byName.end()) {
+        closeEntry(m_links.at(found->second));
+    }
+}
+
 mesh_counters peer_mesh::counters() const
 {
     mesh_counters result = m_counters;
@@ -167,7 +173,7 @@
     evutil_make_socket_nonblocking(socket);
     tuneSocket(socket);
     bufferevent *connection = bufferevent_socket_new(mesh->m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_set_timeouts(connection, &SILENCE_TIMEOUT, nullptr);
+    bufferevent_set_timeouts(connection, &mesh->m_silenceTimeout, nullptr);
     auto link = std::make_unique<peer_link>(connection, *mesh);
     peer_link *key = link.get();
     mesh->m_links[key] = {std::move(link), {}, {}, false};
@@ -228,6 +234,8 @@
 {
     const parsed_address target = toSockaddr(address);
     bufferevent *connection = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    // The timeout for writing also ends an attempt to connect that nobody answers.
+    bufferevent_set_timeouts(connection, &m_silenceTimeout, &m_silenceTimeout);
     auto link = std::make_unique<peer_link>(connection, *this);
     peer_link *key = link.get();
     m_links[key] = {std::move(link), name, {}, false};
--- a/src/transport/peer_mesh.h
+++ b/src/transport/peer_mesh.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <sys/time.h>
+
 #include "fleet/peer_outbox.h"
 #include "transport/event_loop.h"
 #include "transport/peer_link.h"
@@ -58,8 +60,16 @@
 class peer_mesh : public peer_outbox, public peer_link_handler
 {
 public:
+    /// Time after which a connection that carries nothing is closed, unless another is given.
+    static constexpr milliseconds DEFAULT_SILENCE_TIMEOUT{3000};
+
     /// Listens on the address, unless its host is empty. Throws std::runtime_error when the address cannot be used.
-    peer_mesh(event_loop &loop, hello self, const socket_address &listen, peer_handler &handler);
+    /// A connection that carries nothing for the silence timeout is closed; peers have to exchange heartbeats more often than that.
+    peer_mesh(event_loop &loop,
+              hello self,
+              const socket_address &listen,
+              peer_handler &handler,
+              milliseconds silenceTimeout = DEFAULT_SILENCE_TIMEOUT);
     ~peer_mesh() override;
 
     /// Returns the address that peers can connect to.
@@ -73,6 +83,9 @@
 
     void send(const std::string &peer, message value) override;
 
+    /// Closes the connection to the peer, which is made again if the peer is a target.
+    void reset(const std::string &peer);
+
     /// Returns the counters, those of closed connections included.
     mesh_counters counters() const;
 
@@ -105,6 +118,7 @@
 
     event_loop &m_loop;
     hello m_self;
+    timeval m_silenceTimeout{};
     peer_handler &m_handler;
     evconnlistener *m_listener = nullptr;
     socket_address m_address;
