Log to standard output without blocking; survive SIGHUP; tests of the agent's leases in virtual time

Change: SIGHUP is noted as a reload. The event log writes to standard output, only while the reader has room, with a budget of lines for each kind and a count of what was left out.

--- a/src/daemon/process_frame.cpp
+++ b/src/daemon/process_frame.cpp
@@ -22,7 +22,7 @@
 
 process_frame::process_frame(const process_settings &settings, http_limits limits)
     : m_settings(settings)
-    , m_log(settings.name, settings.lowestLevel())
+    , m_log(settings.name, settings.lowestLevel(), m_time)
     , m_http(m_loop, socket_address::parse(settings.http).value(), limits, *this)
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -33,6 +33,7 @@
     m_body = &body;
     m_loop.onSignal(SIGTERM, [this] { beginStop(); });
     m_loop.onSignal(SIGINT, [this] { beginStop(); });
+    m_loop.onSignal(SIGHUP, [this] { noteReload(); });
     m_loop.onSignal(SIGUSR1, [this] { dumpState(); });
     m_loop.every(STOP_CHECK_INTERVAL, [this] { checkStopped(); });
     m_log.write(log_level::info, "started", {{"http", m_http.address().text()}});
@@ -136,6 +137,12 @@
     }
 }
 
+void process_frame::noteReload()
+{
+    // All settings are flags and variables of the process: changed ones come into force with its next start.
+    m_log.write(log_level::info, "reload", {{"applied", "at the next start"}});
+}
+
 void process_frame::dumpState()
 {
     m_log.write(log_level::info, "state", {{"state", m_body->describeState()}});
--- a/src/daemon/process_frame.h
+++ b/src/daemon/process_frame.h
@@ -75,6 +75,7 @@
     void answerCommon(const http_request &request, const std::function<http_response()> &respond);
     void beginStop();
     void checkStopped();
+    void noteReload();
     void dumpState();
 
     process_settings m_settings;
--- a/src/dispatch/active_job.cpp
+++ b/src/dispatch/active_job.cpp
@@ -103,9 +103,8 @@
 
 bool active_job::isStepDone(std::uint32_t step) const
 {
-    return std::all_of(tasks.begin(), tasks.end(), [step](const active_task &task) {
-        return task.step != step || task.state == task_state::done;
-    });
+    return std::all_of(
+        tasks.begin(), tasks.end(), [step](const active_task &task) { return task.step != step || task.state == task_state::done; });
 }
 
 void active_job::releaseSteps()
--- a/src/dispatch/worker_pool.cpp
+++ b/src/dispatch/worker_pool.cpp
@@ -213,8 +213,7 @@
     if (worker.orphans.empty()) {
         return;
     }
-    m_journal.note("runs_presumed_ended",
-                   {{"agent", worker.agent}, {"reason", reason}, {"runs", std::to_string(worker.orphans.size())}});
+    m_journal.note("runs_presumed_ended", {{"agent", worker.agent}, {"reason", reason}, {"runs", std::to_string(worker.orphans.size())}});
     const std::vector<worker_view::outstanding_run> orphans = std::move(worker.orphans);
     worker.orphans.clear();
     for (const worker_view::outstanding_run &run : orphans) {
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -66,11 +66,8 @@
     std::map<run_key, steady_time> foreignStops;
 };
 
-run_supervisor::run_supervisor(const time_source &time,
-                               lease_rules rules,
-                               worker_port &port,
-                               supervisor_listener &listener,
-                               decision_journal &journal)
+run_supervisor::run_supervisor(
+    const time_source &time, lease_rules rules, worker_port &port, supervisor_listener &listener, decision_journal &journal)
     : m_time(time)
     , m_rules(rules)
     , m_port(port)
@@ -249,8 +246,7 @@
 
 void run_supervisor::loseWorker(run_outcome outcome, const std::string &reason)
 {
-    m_journal.note("worker_lost",
-                   {{"worker", m_worker->report.worker}, {"reason", reason}, {"runs", std::to_string(m_runs.size())}});
+    m_journal.note("worker_lost", {{"worker", m_worker->report.worker}, {"reason", reason}, {"runs", std::to_string(m_runs.size())}});
     if (m_formerWorkers.size() >= MAX_FORMER_WORKERS) {
         m_formerWorkers.clear();
     }
--- /dev/null
+++ b/src/runs/tests/run_agent_test.cpp
@@ -0,0 +1,166 @@
+#include <doctest/doctest.h>
+
+#include "runs/run_agent.h"
+#include "runs/tests/fake_worker.h"
+
+using namespace azuremoor;
+using azuremoor::testing::fake_worker;
+using azuremoor::testing::virtual_time;
+
+namespace
+{
+
+/// An agent with its worker and one entry in virtual time. Messages to the entry are kept, and its heartbeats answered while it is alive.
+class tested_agent : public peer_outbox
+{
+public:
+    tested_agent()
+        : worker(time)
+        , journal(time)
+        , agent(time, rules, worker, *this, journal)
+    {
+        agent.supervisor().takeReport(worker.report());
+        connect(1);
+        run(milliseconds(150));
+    }
+
+    void send(const std::string &, message value) override
+    {
+        if (const auto *heartbeat = std::get_if<ping>(&value)) {
+            if (isEntryAlive) {
+                agent.handleMessage("entry", pong{heartbeat->sentMicroseconds, 0, -1, {}, false});
+            }
+        } else if (const auto *ended = std::get_if<run_results>(&value)) {
+            results.push_back(*ended);
+        } else if (const auto *changed = std::get_if<worker_status>(&value)) {
+            status = *changed;
+        }
+    }
+
+    void connect(std::uint64_t incarnation)
+    {
+        agent.connectEntry({"entry", member_role::entry, incarnation, "dc", ""});
+    }
+
+    void run(milliseconds duration)
+    {
+        for (milliseconds passed{0}; passed < duration; passed += TICK) {
+            time.run(TICK);
+            if (++m_ticks % 4 == 0) {
+                agent.sendHeartbeats();
+            }
+            agent.tick();
+            agent.flush();
+        }
+    }
+
+    void order(std::uint64_t sequence, const std::string &task)
+    {
+        agent.handleMessage("entry", start_runs{worker.name, {{sequence, task, 1, "payload", {1000, 64, 0}}}});
+        agent.flush();
+    }
+
+    static constexpr milliseconds TICK{25};
+    virtual_time time;
+    lease_rules rules;
+    fake_worker worker;
+    decision_journal journal;
+    bool isEntryAlive = true;
+    std::vector<run_results> results;
+    worker_status status;
+    run_agent agent;
+
+private:
+    int m_ticks = 0;
+};
+
+}
+
+TEST_CASE("an entry that falls silent has none of its runs left when another entry may get the job again")
+{
+    constexpr milliseconds RESEND{1300};
+    tested_agent test;
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(50));
+    REQUIRE(test.worker.active().size() == 1);
+    test.isEntryAlive = false;
+    test.run(RESEND);
+    CHECK(test.worker.active().empty());
+    CHECK(test.agent.liveSessions() == 0);
+    CHECK(test.rules.runsEndedAfter() < RESEND);
+}
+
+TEST_CASE("an order of an entry whose lease has ended starts nothing")
+{
+    tested_agent test;
+    test.isEntryAlive = false;
+    test.run(seconds(1));
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(100));
+    CHECK(test.worker.started.empty());
+    REQUIRE(test.results.size() == 1);
+    CHECK(test.results.back().results.back().outcome == run_outcome::closed);
+}
+
+TEST_CASE("an agent that was suspended starts nothing from orders that waited meanwhile")
+{
+    tested_agent test;
+    test.time.run(seconds(3));
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(50));
+    CHECK(test.worker.started.empty());
+}
+
+TEST_CASE("an entry that restarted loses the runs of its earlier process at once")
+{
+    tested_agent test;
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(50));
+    test.agent.disconnectEntry("entry");
+    test.connect(2);
+    test.run(milliseconds(100));
+    CHECK(test.worker.active().empty());
+}
+
+TEST_CASE("a short loss of the connection costs no run, and results are repeated until they are acknowledged")
+{
+    tested_agent test;
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(50));
+    test.agent.disconnectEntry("entry");
+    test.worker.finish({"job.0.0.0", 1}, run_outcome::done);
+    test.run(milliseconds(100));
+    CHECK(test.results.empty());
+    test.connect(1);
+    test.run(milliseconds(25));
+    REQUIRE(test.results.size() == 1);
+    CHECK(test.results[0].results[0].outcome == run_outcome::done);
+    CHECK(test.status.appliedOrder == 1);
+    test.agent.disconnectEntry("entry");
+    test.connect(1);
+    test.run(milliseconds(25));
+    REQUIRE(test.results.size() == 2);
+    test.agent.handleMessage("entry", run_results_received{1});
+    test.agent.disconnectEntry("entry");
+    test.connect(1);
+    test.run(milliseconds(25));
+    CHECK(test.results.size() == 2);
+}
+
+TEST_CASE("a stopping agent takes no run, and is idle once its runs have ended and been reported")
+{
+    tested_agent test;
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(50));
+    test.agent.beginStop();
+    test.order(2, "job.0.0.1");
+    CHECK_FALSE(test.agent.isIdle());
+    test.run(milliseconds(500));
+    CHECK(test.worker.active().size() == 1);
+    test.worker.finish({"job.0.0.0", 1}, run_outcome::done);
+    test.run(milliseconds(100));
+    CHECK_FALSE(test.agent.isIdle());
+    test.agent.handleMessage("entry", run_results_received{2});
+    CHECK(test.agent.isIdle());
+    CHECK(test.worker.started.size() == 1);
+}
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -1,10 +1,12 @@
 #include "telemetry/event_log.h"
 
+#include <algorithm>
 #include <array>
 #include <ctime>
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <unistd.h>
 
 namespace azuremoor
@@ -13,6 +15,12 @@
 namespace
 {
 
+/// Lines of one kind of event that a process writes in a second at most.
+constexpr std::uint64_t LINES_PER_SECOND = 200;
+
+/// What a pipe takes without blocking once it is writable, in bytes.
+constexpr std::size_t MAX_WRITE_BYTES = 4096;
+
 std::string formatTime()
 {
     timespec now{};
@@ -45,8 +53,9 @@
 class event_log::json_sink : public google::LogSink
 {
 public:
-    explicit json_sink(std::string process)
+    json_sink(std::string process, int descriptor)
         : m_process(std::move(process))
+        , m_descriptor(descriptor)
     {
     }
 
@@ -69,8 +78,19 @@
                            {"event", "message"},
                            {"text", text}});
         }
-        const ssize_t written = ::write(STDERR_FILENO, line.data(), line.size());
-        static_cast<void>(written);
+        m_isLost = !writeWhole(line);
+        m_lostLines += m_isLost ? 1 : 0;
+    }
+
+    /// Returns whether the latest line was dropped.
+    bool isLost() const
+    {
+        return m_isLost;
+    }
+
+    std::uint64_t lostLines() const
+    {
+        return m_lostLines;
     }
 
     const std::string &process() const
@@ -79,11 +99,38 @@
     }
 
 private:
+    /// Writes the line in parts that do not block. Returns whether all of it was written.
+    bool writeWhole(std::string_view line) const
+    {
+        while (!line.empty()) {
+            if (!hasRoom()) {
+                return false;
+            }
+            const ssize_t written = ::write(m_descriptor, line.data(), std::min(line.size(), MAX_WRITE_BYTES));
+            if (written <= 0) {
+                return false;
+            }
+            line.remove_prefix(static_cast<std::size_t>(written));
+        }
+        return true;
+    }
+
+    bool hasRoom() const
+    {
+        pollfd waiting{m_descriptor, POLLOUT, 0};
+        return poll(&waiting, 1, 0) == 1 && (waiting.revents & POLLOUT) != 0;
+    }
+
     std::string m_process;
+    int m_descriptor;
+    bool m_isLost = false;
+    std::uint64_t m_lostLines = 0;
 };
 
-event_log::event_log(const std::string &process, log_level lowest)
-    : m_sink(std::make_unique<json_sink>(process))
+event_log::event_log(const std::string &process, log_level lowest, const time_source &time, int descriptor)
+    : m_time(time)
+    , m_budget(LINES_PER_SECOND)
+    , m_sink(std::make_unique<json_sink>(process, descriptor))
     , m_lowest(lowest)
 {
     FLAGS_logtostderr = false;
@@ -108,11 +155,26 @@
     if (level < m_lowest) {
         return;
     }
+    const std::optional<std::uint64_t> omitted = m_budget.spend(event, m_time.steadyNow());
+    if (!omitted) {
+        return;
+    }
     nlohmann::json line
         = {{"time", formatTime()}, {"severity", severityName(static_cast<int>(level))}, {"process", m_sink->process()}, {"event", event}};
     line.update(fields);
+    if (*omitted > 0) {
+        line["omitted"] = *omitted;
+    }
     const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     LOG_TO_SINK_BUT_NOT_TO_LOGFILE(m_sink.get(), INFO) << text;
+    if (m_sink->isLost()) {
+        m_budget.noteLost(event);
+    }
+}
+
+std::uint64_t event_log::lostLines() const
+{
+    return m_sink->lostLines();
 }
 
 }
--- a/src/telemetry/event_log.h
+++ b/src/telemetry/event_log.h
@@ -6,6 +6,10 @@
 #include <string_view>
 
 #include <nlohmann/json_fwd.hpp>
+#include <unistd.h>
+
+#include "base/time_source.h"
+#include "telemetry/line_budget.h"
 
 namespace azuremoor
 {
@@ -18,15 +22,17 @@
 };
 
 /**
- * Writes the events of a process to standard error, through glog, as one JSON object a line.
+ * Writes the events of a process to standard output, through glog, as one JSON object a line.
  *
- * Nothing is written to files. What other code logs through glog comes out in the same form, as the event `message`.
+ * Nothing is written to files. What other code logs through glog comes out in the same form, as the event `message`. Each kind of event
+ * has a budget of lines, and a line that the reader has no room for is dropped: the next one of its kind says how many are missing, in
+ * the field `omitted`.
  */
 class event_log
 {
 public:
-    /// Takes the name of the process, which every line carries, and the lowest level that is written.
-    event_log(const std::string &process, log_level lowest);
+    /// Takes the name of the process, which every line carries, the lowest level that is written, and where to write.
+    event_log(const std::string &process, log_level lowest, const time_source &time, int descriptor = STDOUT_FILENO);
     ~event_log();
     event_log(const event_log &) = delete;
     event_log &operator=(const event_log &) = delete;
@@ -34,8 +40,13 @@
     /// Writes an event with a stable name and its fields.
     void write(log_level level, std::string_view event, const nlohmann::json &fields);
 
+    /// Returns the number of lines that were dropped because the reader had no room.
+    std::uint64_t lostLines() const;
+
 private:
     class json_sink;
+    const time_source &m_time;
+    line_budget m_budget;
     std::unique_ptr<json_sink> m_sink;
     log_level m_lowest;
 };
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -219,8 +219,8 @@
     pending->request = request;
     evhttp_connection *connection = evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, closeCallback, pending.get());
-    pending->hangUp
-        = event_new(m_loop.base(), bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), EV_CLOSED, hangUpCallback, pending.get());
+    pending->hangUp = event_new(
+        m_loop.base(), bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), EV_CLOSED, hangUpCallback, pending.get());
     event_add(pending->hangUp, nullptr);
     m_pending[received.id] = std::move(pending);
     m_handler.handleRequest(received);
