Random histories of the dispatcher in virtual time

Cause: leases, fences and resubmissions were tested one by one only.

Change: dispatch-histories plays entries, agents, workers and callers with kills, power losses, suspensions, cuts in one or both directions, resets, restarted and draining workers, late, lost and unanswered orders. Checked: no task twice at the same time, none after a true refusal, none beyond the room, none after the drain, one answer, whole answers.

--- /dev/null
+++ b/src/dispatch/tests/dispatch_histories.cpp
@@ -0,0 +1,111 @@
+// Runs random histories of the dispatcher over a range of seeds and checks what must always hold in each.
+
+#include <iostream>
+#include <mutex>
+
+#include <CLI/CLI.hpp>
+
+#include "dispatch/tests/dispatch_history.h"
+#include "nodes/tests/seed_range.h"
+
+namespace
+{
+
+using namespace azuremoor;
+using namespace azuremoor::testing;
+
+constexpr std::uint64_t SHOWN_HISTORIES = 5;
+
+struct totals {
+    std::uint64_t histories = 0;
+    std::uint64_t broken = 0;
+    dispatch_history_result sum;
+};
+
+void add(totals &all, const dispatch_history_result &result, std::uint64_t seed, bool isQuiet)
+{
+    ++all.histories;
+    all.sum.jobs += result.jobs;
+    all.sum.completed += result.completed;
+    all.sum.refused += result.refused;
+    all.sum.failed += result.failed;
+    all.sum.expired += result.expired;
+    all.sum.resubmitted += result.resubmitted;
+    all.sum.starts += result.starts;
+    all.sum.faults += result.faults;
+    if (result.violations.empty()) {
+        return;
+    }
+    ++all.broken;
+    if (!isQuiet && all.broken <= SHOWN_HISTORIES) {
+        std::cout << "seed " << seed << ": " << result.violations.front() << std::endl;
+    }
+}
+
+totals play(const seed_range &seeds, const dispatch_history_settings &settings, bool isQuiet)
+{
+    totals all;
+    std::mutex lock;
+    seeds.forEach([&](std::uint64_t seed) {
+        dispatch_history_settings own = settings;
+        own.seed = seed;
+        const dispatch_history_result result = dispatch_history(own).run();
+        const std::lock_guard<std::mutex> guard(lock);
+        add(all, result, seed, isQuiet);
+    });
+    return all;
+}
+
+int playAll(const seed_range &seeds, bool isTraced)
+{
+    dispatch_history_settings settings;
+    settings.isTraced = isTraced;
+    const totals all = play(seeds, settings, false);
+    std::cout << all.histories << " histories, " << all.sum.faults << " faults, " << all.sum.jobs << " jobs: " << all.sum.completed
+              << " completed, " << all.sum.refused << " refused, " << all.sum.failed << " failed, " << all.sum.expired << " expired, "
+              << all.sum.resubmitted << " submitted again; " << all.sum.starts << " starts" << std::endl;
+    std::cout << all.histories - all.broken << " passed, " << all.broken << " failed" << std::endl;
+    return all.broken == 0 ? 0 : 1;
+}
+
+/// Plays histories with one rule broken at a time, each of which has to be noticed.
+int playBroken(const seed_range &seeds)
+{
+    std::vector<std::pair<std::string, dispatch_history_settings>> mutations(3);
+    mutations[0].first = "runs of a silent agent count as over too early";
+    mutations[0].second.presumedEnd = milliseconds(400);
+    mutations[1].first = "an entry's lease outlives the time to submit again";
+    mutations[1].second.leases.entryLease = milliseconds(2500);
+    mutations[1].second.presumedEnd = milliseconds(1250);
+    mutations[2].first = "a worker's lease outlives the time to submit again";
+    mutations[2].second.leases.workerLease = milliseconds(4000);
+    mutations[2].second.presumedEnd = milliseconds(1250);
+    int missed = 0;
+    for (const auto &[name, settings] : mutations) {
+        const totals all = play(seeds, settings, true);
+        std::cout << name << ": " << all.broken << " of " << all.histories << " histories notice it" << std::endl;
+        missed += all.broken == 0 ? 1 : 0;
+    }
+    std::cout << mutations.size() - missed << " passed, " << missed << " failed" << std::endl;
+    return missed == 0 ? 0 : 1;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    std::string seeds = "1..200";
+    bool isBroken = false;
+    bool isTraced = false;
+    CLI::App app("Plays random histories of the dispatcher in virtual time");
+    app.add_option("--seeds", seeds, "Seeds, as A..B");
+    app.add_flag("--mutations", isBroken, "Break one rule at a time, and demand that it is noticed");
+    app.add_flag("--trace", isTraced, "Print every decision; for one seed");
+    CLI11_PARSE(app, argc, argv);
+    const auto range = seed_range::parse(seeds);
+    if (!range) {
+        std::cerr << "--seeds needs a range of the form A..B" << std::endl;
+        return 2;
+    }
+    return isBroken ? playBroken(*range) : playAll(*range, isTraced);
+}
--- a/src/runs/tests/fake_worker.h
+++ b/src/runs/tests/fake_worker.h
@@ -140,6 +140,8 @@
     microseconds lateBy = seconds(2);
     /// Every start that was carried out.
     std::vector<run_key> started;
+    /// Is told of each start, if set.
+    std::function<void(const run_key &run, const task_shape &shape)> onStart;
 
 private:
     static constexpr milliseconds UNANSWERED{150};
@@ -189,6 +191,9 @@
         }
         m_active.insert(key);
         started.push_back(key);
+        if (onStart) {
+            onStart(key, order.shape);
+        }
         return order_reply::accepted;
     }
 
