Withhold a worker's lease while a run that has to end cannot be stopped

Change: a run that was ended early and is still there after 150 ms keeps the lease from being renewed, so that it lapses within the time that entries count on. Stops are repeated each 60 ms.

--- a/src/dispatch/tests/dispatch_history.cpp
+++ b/src/dispatch/tests/dispatch_history.cpp
@@ -595,7 +595,8 @@
     }
     std::size_t copies = 0;
     for (const auto &each : m_workers) {
-        copies += std::count_if(each->active().begin(), each->active().end(), [&run](const run_key &other) { return other.task == run.task; });
+        copies
+            += std::count_if(each->active().begin(), each->active().end(), [&run](const run_key &other) { return other.task == run.task; });
     }
     if (copies > 1) {
         violate(run.task + " runs twice at the same time");
@@ -610,7 +611,8 @@
     }
     const std::string life = m_workers[worker]->name;
     const run_outcome outcome = random(50) == 0 ? run_outcome::failed : run_outcome::done;
-    m_time.after(milliseconds(20 + random(250)), [this, worker, run, life, outcome] {
+    const bool isLong = random(8) == 0;
+    m_time.after(milliseconds(isLong ? 1200 + random(1200) : 20 + random(250)), [this, worker, run, life, outcome] {
         fake_worker &ended = *m_workers[worker];
         if (ended.name != life || !ended.active().contains(run)) {
             return;
--- a/src/dispatch/tests/simulated_network.h
+++ b/src/dispatch/tests/simulated_network.h
@@ -1,6 +1,7 @@
 #ifndef AZUREMOOR_DISPATCH_TESTS_SIMULATED_NETWORK_H
 #define AZUREMOOR_DISPATCH_TESTS_SIMULATED_NETWORK_H
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
@@ -22,17 +23,11 @@
     {
     }
 
-    /// Calls the function now, or after the process wakes up; never if the process is killed before.
+    /// Calls the function now, or after the process wakes up and has done what waits already; never if the process is killed before.
     void whenAwake(std::function<void()> function)
     {
-        if (!isAlive) {
-            return;
-        }
-        if (m_time.steadyNow() < suspendedUntil) {
-            m_time.after(suspendedUntil - m_time.steadyNow(), [this, function] { whenAwake(function); });
-            return;
-        }
-        function();
+        m_waiting.push_back(std::move(function));
+        work();
     }
 
     bool isAwake() const
@@ -44,7 +39,20 @@
     steady_time suspendedUntil{};
 
 private:
+    void work()
+    {
+        while (isAwake() && !m_waiting.empty()) {
+            const std::function<void()> function = std::move(m_waiting.front());
+            m_waiting.pop_front();
+            function();
+        }
+        if (isAlive && !m_waiting.empty()) {
+            m_time.after(suspendedUntil - m_time.steadyNow(), [this] { work(); });
+        }
+    }
+
     virtual_time &m_time;
+    std::deque<std::function<void()>> m_waiting;
 };
 
 /// Connections between an entry and an agent: ordered, with delays, cuts in one direction or both, and resets.
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -16,7 +16,10 @@
 constexpr milliseconds STOP_SLACK{70};
 
 /// Interval at which a stop without effect is repeated.
-constexpr milliseconds STOP_INTERVAL{200};
+constexpr milliseconds STOP_INTERVAL{60};
+
+/// Time that stops have to take effect before the lease is withheld.
+constexpr milliseconds STOP_PATIENCE{150};
 
 /// Longest wait of a renewal for an end.
 constexpr milliseconds RENEWAL_WAIT{120};
@@ -144,8 +147,8 @@
 void run_supervisor::stop(const std::string &session, std::uint64_t sequence)
 {
     for (auto &[key, run] : m_runs) {
-        if (run.session == session && run.sequence == sequence && run.state != run_state::stopping) {
-            sendStop(key, run);
+        if (run.session == session && run.sequence == sequence) {
+            endEarly(key, run);
             return;
         }
     }
@@ -154,8 +157,8 @@
 void run_supervisor::stopAll(const std::string &session)
 {
     for (auto &[key, run] : m_runs) {
-        if (run.session == session && run.state != run_state::stopping) {
-            sendStop(key, run);
+        if (run.session == session) {
+            endEarly(key, run);
         }
     }
 }
@@ -221,7 +224,13 @@
 
 bool run_supervisor::isReady() const
 {
-    return m_worker != nullptr && m_worker->isHeld && !m_worker->hasForeignRuns && isAnswering();
+    return m_worker != nullptr && m_worker->isHeld && !m_worker->hasForeignRuns && isAnswering() && !isLeaseWithheld();
+}
+
+bool run_supervisor::isLeaseWithheld() const
+{
+    const steady_time now = m_time.steadyNow();
+    return std::any_of(m_runs.begin(), m_runs.end(), [now](const auto &entry) { return entry.second.endBy && now >= *entry.second.endBy; });
 }
 
 bool run_supervisor::isAnswering() const
@@ -301,6 +310,16 @@
     }
 }
 
+void run_supervisor::endEarly(const run_key &key, supervised_run &run)
+{
+    if (!run.endBy) {
+        run.endBy = m_time.steadyNow() + STOP_PATIENCE;
+    }
+    if (run.state != run_state::stopping) {
+        sendStop(key, run);
+    }
+}
+
 void run_supervisor::sendStop(const run_key &key, supervised_run &run)
 {
     run.state = run_state::stopping;
@@ -329,7 +348,8 @@
 {
     lease_request request;
     // A worker that does not answer gets no longer lease: what runs there has to end at a known time.
-    request.deadline = isAnswering() || !m_worker->isHeld ? clockNow() + m_rules.workerLease.count() : m_worker->latestDeadline;
+    const bool isExtended = !m_worker->isHeld || (isAnswering() && !isLeaseWithheld());
+    request.deadline = isExtended ? clockNow() + m_rules.workerLease.count() : m_worker->latestDeadline;
     request.acknowledged = m_worker->acknowledged;
     request.wait = wait;
     m_worker->latestDeadline = std::max(m_worker->latestDeadline, request.deadline);
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -46,7 +46,8 @@
  * Runs tasks on the one worker of this machine: keeps its room, its lease and the state of each run.
  *
  * A run counts as under way from before its order is sent until the worker lists its end, or until it is proved that it cannot begin any
- * more. An order without an answer is taken back by a stop, which the worker remembers.
+ * more. An order without an answer is taken back by a stop, which the worker remembers. If stops go unanswered too, the lease is not
+ * renewed, and the run ends with it: its job may be on its way to another worker.
  */
 class run_supervisor
 {
@@ -105,6 +106,8 @@
         /// Number of the first renewal whose list is certain to show the run if it is under way.
         std::uint64_t settledBy = 0;
         steady_time nextStop;
+        /// When the lease is no longer renewed unless the run has ended; only for runs that somebody ended early.
+        std::optional<steady_time> endBy;
         std::uint8_t percent = 0;
     };
     struct known_worker;
@@ -123,6 +126,8 @@
     void noteClock(worker_milliseconds clock);
     void checkLapse();
     bool isAnswering() const;
+    bool isLeaseWithheld() const;
+    void endEarly(const run_key &key, supervised_run &run);
     worker_milliseconds clockNow() const;
     task_shape usedRoom() const;
     void end(run_map::iterator run, run_outcome outcome);
--- a/src/runs/tests/run_supervisor_test.cpp
+++ b/src/runs/tests/run_supervisor_test.cpp
@@ -229,3 +229,19 @@
     test.run(seconds(1));
     CHECK(test.worker.started.empty());
 }
+
+TEST_CASE("a run whose stops are all lost ends with the lease, which is not renewed for the other runs either")
+{
+    supervised_worker test;
+    test.order(1, "job.0.0.0");
+    test.order(2, "job.0.0.1");
+    test.run(milliseconds(50));
+    test.worker.stopFate = fake_worker::fate::lost;
+    test.supervisor->stop("entry#1", 1);
+    constexpr milliseconds PATIENCE{150};
+    test.run(PATIENCE + test.rules.workerLease + milliseconds(150));
+    CHECK(test.worker.active().empty());
+    CHECK(test.hasResult(1));
+    test.run(milliseconds(200));
+    CHECK(test.supervisor->isReady());
+}
