Give up an attempt to connect early; open a second connection to a worker only when the first is held up

Connections that are used rarely are closed by the worker when idle and made again: 2,461 new ones, the heaviest price.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -48,6 +48,7 @@
     outgoing_request request;
     callback done;
     std::string error;
+    steady_time queuedAt;
 };
 
 struct http_client::connection {
@@ -80,9 +81,10 @@
     return http_url{*address, slash == std::string_view::npos ? "/" : std::string(text.substr(slash))};
 }
 
-http_client::http_client(event_loop &loop, std::size_t maxConnections)
+http_client::http_client(event_loop &loop, std::size_t maxConnections, milliseconds patience)
     : m_loop(loop)
     , m_maxConnections(maxConnections)
+    , m_patience(patience)
 {
 }
 
@@ -108,6 +110,7 @@
     auto work = std::make_unique<exchange>();
     work->request = std::move(request);
     work->done = std::move(done);
+    work->queuedAt = m_time.steadyNow();
     target->waiting.push_back(std::move(work));
     m_loop.after(microseconds(0), [this, target] { pump(*target); });
 }
@@ -139,6 +142,11 @@
         if (idle == target.connections.end() && target.connections.size() >= m_maxConnections) {
             return;
         }
+        const microseconds patienceLeft = target.waiting.front()->queuedAt + m_patience - m_time.steadyNow();
+        if (idle == target.connections.end() && !target.connections.empty() && patienceLeft > microseconds(0)) {
+            m_loop.after(patienceLeft, [this, &target] { pump(target); });
+            return;
+        }
         connection &link = idle == target.connections.end() ? connectionFor(target) : **idle;
         std::unique_ptr<exchange> work = std::move(target.waiting.front());
         target.waiting.pop_front();
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -12,6 +12,7 @@
 #include "base/verdict.h"
 #include "transport/event_loop.h"
 #include "transport/socket_address.h"
+#include "transport/system_time.h"
 
 struct evbuffer;
 struct evbuffer_cb_info;
@@ -57,8 +58,9 @@
 public:
     using callback = std::function<void(outcome_of<incoming_response>)>;
 
-    /// Takes the loop, and the most connections to one server at a time. Further requests wait for one.
-    http_client(event_loop &loop, std::size_t maxConnections);
+    /// Takes the loop, and the most connections to one server at a time. Further requests wait for one. A request waits that long for a
+    /// connection that is in use before another one is made.
+    http_client(event_loop &loop, std::size_t maxConnections, milliseconds patience = milliseconds(0));
     ~http_client();
     http_client(const http_client &) = delete;
     http_client &operator=(const http_client &) = delete;
@@ -83,6 +85,8 @@
 
     event_loop &m_loop;
     std::size_t m_maxConnections;
+    milliseconds m_patience;
+    system_time m_time;
     std::map<std::string, std::unique_ptr<server>> m_servers;
 };
 
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -52,6 +52,11 @@
     m_sentBytes += LENGTH_BYTES + body.size();
 }
 
+void peer_link::setTimeouts(timeval silence, timeval stall)
+{
+    bufferevent_set_timeouts(m_connection, &silence, &stall);
+}
+
 std::uint64_t peer_link::sentBytes() const
 {
     return m_sentBytes;
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 
+#include <sys/time.h>
+
 #include "messages/codec.h"
 
 struct bufferevent;
@@ -44,6 +46,9 @@
     /// Sends the message. A link whose peer does not read is closed rather than buffered without bound.
     void send(const message &value);
 
+    /// Closes the connection when nothing arrives, or nothing can be sent, for the given times. The latter also bounds the time to connect.
+    void setTimeouts(timeval silence, timeval stall);
+
     /// Returns the bytes that were sent and received.
     std::uint64_t sentBytes() const;
     std::uint64_t receivedBytes() const;
--- a/src/transport/peer_mesh.cpp
+++ b/src/transport/peer_mesh.cpp
@@ -25,6 +25,14 @@
 /// Time after which a connection whose peer acknowledges nothing is closed, in milliseconds.
 constexpr unsigned UNACKNOWLEDGED_TIMEOUT_MS = 3000;
 
+/// Part of the silence timeout after which an attempt to connect is given up.
+constexpr int CONNECT_DIVISOR = 4;
+
+timeval toTimeval(milliseconds duration)
+{
+    return {duration.count() / 1000, (duration.count() % 1000) * 1000};
+}
+
 struct parsed_address {
     sockaddr_storage storage{};
     int length = 0;
@@ -73,7 +81,8 @@
 peer_mesh::peer_mesh(event_loop &loop, hello self, const socket_address &listen, peer_handler &handler, milliseconds silenceTimeout)
     : m_loop(loop)
     , m_self(std::move(self))
-    , m_silenceTimeout{silenceTimeout.count() / 1000, (silenceTimeout.count() % 1000) * 1000}
+    , m_silenceTimeout(toTimeval(silenceTimeout))
+    , m_connectTimeout(toTimeval(silenceTimeout / CONNECT_DIVISOR))
     , m_handler(handler)
 {
     if (!listen.host.empty()) {
@@ -173,8 +182,8 @@
     evutil_make_socket_nonblocking(socket);
     tuneSocket(socket);
     bufferevent *connection = bufferevent_socket_new(mesh->m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_set_timeouts(connection, &mesh->m_silenceTimeout, nullptr);
     auto link = std::make_unique<peer_link>(connection, *mesh);
+    link->setTimeouts(mesh->m_silenceTimeout, mesh->m_silenceTimeout);
     peer_link *key = link.get();
     mesh->m_links[key] = {std::move(link), {}, {}, false};
     key->send(mesh->m_self);
@@ -206,6 +215,7 @@
 
 void peer_mesh::open(peer_link &link)
 {
+    link.setTimeouts(m_silenceTimeout, m_silenceTimeout);
     link.send(m_self);
 }
 
@@ -234,9 +244,8 @@
 {
     const parsed_address target = toSockaddr(address);
     bufferevent *connection = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    // The timeout for writing also ends an attempt to connect that nobody answers.
-    bufferevent_set_timeouts(connection, &m_silenceTimeout, &m_silenceTimeout);
     auto link = std::make_unique<peer_link>(connection, *this);
+    link->setTimeouts(m_silenceTimeout, m_connectTimeout);
     peer_link *key = link.get();
     m_links[key] = {std::move(link), name, {}, false};
     if (bufferevent_socket_connect(connection, reinterpret_cast<const sockaddr *>(&target.storage), target.length) != 0) {
--- a/src/transport/peer_mesh.h
+++ b/src/transport/peer_mesh.h
@@ -64,7 +64,8 @@
     static constexpr milliseconds DEFAULT_SILENCE_TIMEOUT{3000};
 
     /// Listens on the address, unless its host is empty. Throws std::runtime_error when the address cannot be used.
-    /// A connection that carries nothing for the silence timeout is closed; peers have to exchange heartbeats more often than that.
+    /// A connection that carries nothing for the silence timeout is closed; peers have to exchange heartbeats more often than that. An
+    /// attempt to connect is given up after a quarter of it, so that a machine that comes back is reached soon.
     peer_mesh(event_loop &loop,
               hello self,
               const socket_address &listen,
@@ -119,6 +120,7 @@
     event_loop &m_loop;
     hello m_self;
     timeval m_silenceTimeout{};
+    timeval m_connectTimeout{};
     peer_handler &m_handler;
     evconnlistener *m_listener = nullptr;
     socket_address m_address;
