--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+/// Time after which a connection that carries no request is closed.
+constexpr timeval IDLE_TIMEOUT{60, 0};
+
 evhttp_cmd_type commandOf(const std::string &method)
 {
     if (method == "POST") {
@@ -196,6 +199,8 @@
         const std::string reason = work->error.empty() ? "the connection was refused or lost" : work->error;
         result = tl::unexpected(failure{link.written ? verdict::may_have_run : verdict::not_run, reason});
     }
+    // The time-out of the request would close the connection while it is idle.
+    evhttp_connection_set_timeout_tv(link.link, &IDLE_TIMEOUT);
     server *target = link.target;
     // The connection may still be in use further up in libevent: what follows waits for the next turn of the loop.
     m_loop.after(microseconds(0), [this, target, done = std::move(work->done), result = std::move(result)] {
