--- a/src/dispatch/active_job.cpp
+++ b/src/dispatch/active_job.cpp
@@ -11,7 +11,7 @@
     , rule(std::move(jobRule))
     , arrival(jobArrival)
     , deadline(jobDeadline)
-    , m_longestChain(longestChain())
+    , m_longestChain(measureLongestChain())
 {
     for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
         for (std::uint32_t index = 0; index < spec.steps[step].count; ++index) {
@@ -87,6 +87,11 @@
 }
 
 microseconds active_job::longestChain() const
+{
+    return m_longestChain;
+}
+
+microseconds active_job::measureLongestChain() const
 {
     std::vector<microseconds> chainEnd(spec.steps.size());
     microseconds longest{0};
--- a/src/dispatch/active_job.h
+++ b/src/dispatch/active_job.h
@@ -50,6 +50,9 @@
     /// Returns the time by which the job has to be done to meet the latency objective.
     steady_time objective() const;
 
+    /// Returns the estimated time of the longest chain of work.
+    microseconds longestChain() const;
+
     /// Returns the name of a task among all jobs.
     std::string taskName(std::uint32_t task) const;
 
@@ -88,7 +91,7 @@
     bool isConfirmed = false;
 
 private:
-    microseconds longestChain() const;
+    microseconds measureLongestChain() const;
     bool isStepDone(std::uint32_t step) const;
     void releaseSteps();
 
--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -21,6 +21,10 @@
 /// A waiting job is looked at again when this part of the time to its objective has passed.
 constexpr int CONFIRM_DIVISOR = 5;
 
+/// Bound on the time that a job takes at a stopping entry: this many times its estimate, and the slack.
+constexpr int STOP_FACTOR = 3;
+constexpr milliseconds STOP_SLACK{200};
+
 /// Added to the run number when a worker has seen the present one: an earlier owner of the job has numbered runs too.
 constexpr std::uint32_t RUN_NUMBER_JUMP = 100;
 
@@ -206,6 +210,11 @@
     }
 }
 
+void job_dispatcher::beginStop(steady_time end)
+{
+    m_stopEnd = end;
+}
+
 void job_dispatcher::setEntryCount(std::size_t entries)
 {
     m_entries = std::max<std::size_t>(entries, 1);
@@ -258,6 +267,9 @@
     if (job.spec.kept) {
         return reject(answer_kind::refused_unavailable, "jobs that have to be kept are not served yet", LONGEST_RETRY);
     }
+    if (m_stopEnd && m_time.steadyNow() + STOP_FACTOR * job.longestChain() + STOP_SLACK > *m_stopEnd) {
+        return reject(answer_kind::refused_unavailable, "this entry is stopping", SHORTEST_RETRY);
+    }
     if (m_jobs.size() >= MAX_ACTIVE_JOBS) {
         return reject(answer_kind::refused_full, "too many jobs", SHORTEST_RETRY);
     }
--- a/src/dispatch/job_dispatcher.h
+++ b/src/dispatch/job_dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -101,6 +102,9 @@
     /// Ends what is out of time; to be called often.
     void tick();
 
+    /// From now on takes only jobs that can be expected to be over by the time given, which is when this process ends.
+    void beginStop(steady_time end);
+
     /// Sets how many entries share the workers, this one included.
     void setEntryCount(std::size_t entries);
 
@@ -139,6 +143,7 @@
     std::set<queue_key> m_waiting;
     std::uint64_t m_nextJob = 1;
     std::size_t m_entries = 1;
+    std::optional<steady_time> m_stopEnd;
     dispatch_counters m_counters;
 };
 
