--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -22,7 +22,7 @@
 constexpr int CONFIRM_DIVISOR = 5;
 
 /// Bound on the time that a job takes at a stopping entry: this many times its estimate, and the slack.
-constexpr int STOP_FACTOR = 3;
+constexpr int STOP_FACTOR = 2;
 constexpr milliseconds STOP_SLACK{200};
 
 /// Added to the run number when a worker has seen the present one: an earlier owner of the job has numbered runs too.
--- /dev/null
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -0,0 +1,393 @@
+#include <doctest/doctest.h>
+
+#include "dispatch/job_dispatcher.h"
+#include "testing/virtual_time.h"
+
+using namespace azuremoor;
+using azuremoor::testing::virtual_time;
+
+namespace
+{
+
+/// A dispatcher with workers whose agents only record what they are told.
+class tested_dispatcher : public peer_outbox, public answer_sink
+{
+public:
+    tested_dispatcher()
+        : journal(time)
+        , pool(time, {}, *this, journal)
+        , placement(time, "dc", 1.5, 1)
+        , dispatcher(time, pool, placement, admission, *this, journal)
+    {
+        pool.setListener(dispatcher);
+        rule.name = "queue";
+        rule.service = "desk";
+        rule.maxAttempts = 2;
+        rule.slackFactor = 1.6;
+        rule.targetLatency = milliseconds(60);
+    }
+
+    void send(const std::string &peer, message value) override
+    {
+        if (const auto *orders = std::get_if<start_runs>(&value)) {
+            for (const run_order &order : orders->orders) {
+                started.emplace_back(peer, order);
+            }
+        } else if (const auto *stops = std::get_if<stop_runs>(&value)) {
+            stopped.insert(stopped.end(), stops->sequences.begin(), stops->sequences.end());
+        }
+    }
+
+    void answerRequest(std::uint64_t request, const job_answer &answer) override
+    {
+        REQUIRE_FALSE(answers.contains(request));
+        answers[request] = answer;
+    }
+
+    void addWorker(const std::string &agent, std::uint32_t milliCores = 4000, std::uint64_t incarnation = 1)
+    {
+        pool.connectAgent({agent, member_role::agent, incarnation, "dc", ""});
+        worker_status status;
+        status.ready = true;
+        status.worker = agent + "-worker";
+        status.service = "desk";
+        status.labels = {"a", "r1"};
+        status.capacity = {milliCores, 4096, 0};
+        status.free = status.capacity;
+        pool.updateStatus(agent, status);
+    }
+
+    void heartbeat()
+    {
+        for (const auto &[agent, worker] : pool.workers()) {
+            pool.noteHeartbeat(agent);
+        }
+    }
+
+    void submit(std::uint64_t request, const std::string &id, std::uint32_t tasks = 1, milliseconds estimate = milliseconds(100))
+    {
+        job_spec spec;
+        spec.id = id;
+        step_spec step;
+        step.count = tasks;
+        step.shape = {1000, 64, 0};
+        step.estimate = estimate;
+        spec.steps = {step};
+        submit(request, spec);
+    }
+
+    void submit(std::uint64_t request, const job_spec &spec)
+    {
+        dispatcher.submit(request, spec, rule, time.steadyNow() + seconds(2));
+        dispatcher.placeWaiting();
+    }
+
+    /// Reports the end of the run at the position among all that were ordered.
+    void end(std::size_t position, run_outcome outcome)
+    {
+        const auto &[agent, order] = started.at(position);
+        pool.receiveResults(agent, {++m_results[agent], {{order.sequence, outcome}}});
+        dispatcher.placeWaiting();
+    }
+
+    void passTime(milliseconds duration)
+    {
+        time.run(duration);
+        heartbeat();
+        pool.tick();
+        dispatcher.tick();
+        dispatcher.placeWaiting();
+    }
+
+    virtual_time time;
+    decision_journal journal;
+    worker_pool pool;
+    earliest_done_placement placement;
+    fair_share_admission admission;
+    job_dispatcher dispatcher;
+    route rule;
+    std::vector<std::pair<std::string, run_order>> started;
+    std::vector<std::uint64_t> stopped;
+    std::map<std::uint64_t, job_answer> answers;
+
+private:
+    std::map<std::string, std::uint64_t> m_results;
+};
+
+}
+
+TEST_CASE("a job is answered once all of its tasks are done")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "job", 2);
+    REQUIRE(test.started.size() == 2);
+    test.end(0, run_outcome::done);
+    CHECK(test.answers.empty());
+    test.end(1, run_outcome::done);
+    CHECK(test.answers.at(1).kind == answer_kind::completed);
+    CHECK(test.dispatcher.activeJobs() == 0);
+}
+
+TEST_CASE("a step waits for the steps that it depends on")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    job_spec spec;
+    spec.id = "job";
+    step_spec step;
+    step.shape = {1000, 64, 0};
+    step.estimate = milliseconds(50);
+    spec.steps = {step, step};
+    spec.steps[1].dependsOn = {0};
+    test.submit(1, spec);
+    REQUIRE(test.started.size() == 1);
+    CHECK(test.started[0].second.task == "job.0.0.0");
+    test.end(0, run_outcome::done);
+    REQUIRE(test.started.size() == 2);
+    CHECK(test.started[1].second.task == "job.0.1.0");
+}
+
+TEST_CASE("a failed run is repeated elsewhere with a higher number, and the job fails after the last attempt")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.addWorker("two");
+    test.submit(1, "job");
+    test.end(0, run_outcome::failed);
+    REQUIRE(test.started.size() == 2);
+    CHECK(test.started[1].first != test.started[0].first);
+    CHECK(test.started[1].second.number == 2);
+    test.end(1, run_outcome::failed);
+    CHECK(test.answers.at(1).kind == answer_kind::failed);
+}
+
+TEST_CASE("a run that never began is repeated without costing an attempt")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "job");
+    for (std::size_t round = 0; round < 5; ++round) {
+        test.end(round, run_outcome::no_room);
+    }
+    CHECK(test.answers.empty());
+    test.end(5, run_outcome::done);
+    CHECK(test.answers.at(1).kind == answer_kind::completed);
+}
+
+TEST_CASE("a stale run number is left behind")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "job");
+    test.end(0, run_outcome::stale_number);
+    CHECK(test.started.at(1).second.number > 100);
+}
+
+TEST_CASE("a silent agent gets no runs, and its own are repeated only when none can be under way")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "job");
+    test.addWorker("two");
+    const silence_rules rules;
+    test.time.run(rules.runsEnded - milliseconds(1));
+    test.pool.noteHeartbeat("two");
+    test.pool.tick();
+    test.dispatcher.placeWaiting();
+    CHECK(test.started.size() == 1);
+    test.time.run(milliseconds(1));
+    test.pool.noteHeartbeat("two");
+    test.pool.tick();
+    test.dispatcher.placeWaiting();
+    REQUIRE(test.started.size() == 2);
+    CHECK(test.started[1].first == "two");
+}
+
+TEST_CASE("runs of an agent's earlier process count as over once its successor is ready")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "job");
+    test.pool.disconnectAgent("one");
+    test.pool.connectAgent({"one", member_role::agent, 2, "dc", ""});
+    worker_status status;
+    test.pool.updateStatus("one", status);
+    test.dispatcher.placeWaiting();
+    CHECK(test.started.size() == 1);
+    test.addWorker("one", 4000, 2);
+    test.dispatcher.placeWaiting();
+    CHECK(test.started.size() == 2);
+}
+
+TEST_CASE("orders that a broken connection swallowed count as never begun")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "job");
+    test.pool.disconnectAgent("one");
+    test.addWorker("one");
+    test.dispatcher.placeWaiting();
+    CHECK(test.started.size() == 2);
+}
+
+TEST_CASE("a caller that leaves has its runs stopped, and its copy is refused until they are over")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "job", 2);
+    test.dispatcher.abandon(1);
+    test.dispatcher.placeWaiting();
+    CHECK(test.stopped.size() == 2);
+    test.submit(2, "job", 2);
+    CHECK(test.answers.at(2).kind == answer_kind::refused_unavailable);
+    test.end(0, run_outcome::stopped);
+    test.end(1, run_outcome::stopped);
+    CHECK(test.dispatcher.activeJobs() == 0);
+    test.submit(3, "job", 2);
+    CHECK(test.started.size() == 4);
+}
+
+TEST_CASE("a copy that arrives while the job runs gets the same answer")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "job");
+    test.submit(2, "job");
+    CHECK(test.started.size() == 1);
+    test.end(0, run_outcome::done);
+    CHECK(test.answers.at(1).kind == answer_kind::completed);
+    CHECK(test.answers.at(2).kind == answer_kind::completed);
+}
+
+TEST_CASE("burst: what would come too late is refused at once with a time to come back, and never starts")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    for (std::uint64_t request = 1; request <= 40; ++request) {
+        test.submit(request, "job" + std::to_string(request), 4);
+    }
+    const auto refused = std::count_if(
+        test.answers.begin(), test.answers.end(), [](const auto &entry) { return entry.second.kind == answer_kind::refused_full; });
+    CHECK(refused > 30);
+    for (const auto &[request, answer] : test.answers) {
+        CHECK(answer.retryAt > test.time.steadyNow());
+        for (const auto &[agent, order] : test.started) {
+            CHECK_FALSE(order.task.starts_with("job" + std::to_string(request) + "."));
+        }
+    }
+}
+
+TEST_CASE("nothing is refused while there is room")
+{
+    tested_dispatcher test;
+    test.addWorker("one", 40'000);
+    for (std::uint64_t request = 1; request <= 10; ++request) {
+        test.submit(request, "job" + std::to_string(request), 4);
+    }
+    CHECK(test.answers.empty());
+    CHECK(test.started.size() == 40);
+}
+
+TEST_CASE("mixed short and long: a short job goes before a long one that came earlier")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "full", 4, milliseconds(100));
+    test.submit(2, "long", 1, milliseconds(900));
+    test.submit(3, "short", 1, milliseconds(60));
+    REQUIRE(test.started.size() == 4);
+    // The agent's report of the free room comes with the result.
+    test.end(0, run_outcome::done);
+    REQUIRE(test.started.size() == 5);
+    CHECK(test.started[4].second.task == "short.0.0.0");
+}
+
+TEST_CASE("grey failures: a worker that fails what it starts loses its work to the others")
+{
+    tested_dispatcher test;
+    test.rule.maxAttempts = 100;
+    test.addWorker("bad", 8000);
+    test.addWorker("good", 400'000);
+    int lost = 0;
+    for (std::uint64_t request = 1; request <= 100; ++request) {
+        const std::size_t first = test.started.size();
+        test.submit(request, "job" + std::to_string(request));
+        for (std::size_t position = first; position < test.started.size(); ++position) {
+            const bool isBad = test.started[position].first == "bad";
+            lost += isBad ? 1 : 0;
+            test.end(position, isBad ? run_outcome::failed : run_outcome::done);
+        }
+        test.passTime(milliseconds(5));
+    }
+    CHECK(lost <= 10);
+}
+
+TEST_CASE("poison: a job that no worker could ever run fails at once")
+{
+    tested_dispatcher test;
+    test.addWorker("one", 500);
+    test.submit(1, "job");
+    CHECK(test.answers.at(1).kind == answer_kind::failed);
+    CHECK(test.started.empty());
+}
+
+TEST_CASE("no worker at all: the caller is told to come back")
+{
+    tested_dispatcher test;
+    test.submit(1, "job");
+    CHECK(test.answers.at(1).kind == answer_kind::refused_unavailable);
+}
+
+TEST_CASE("a job that has to be kept is refused, never acknowledged")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    job_spec spec;
+    spec.id = "job";
+    spec.kept = true;
+    spec.steps.resize(1);
+    test.submit(1, spec);
+    CHECK(test.answers.at(1).kind == answer_kind::refused_unavailable);
+}
+
+TEST_CASE("a job is given up at its deadline and its runs are stopped")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "job");
+    for (int step = 0; step < 21; ++step) {
+        test.passTime(milliseconds(100));
+    }
+    CHECK(test.answers.at(1).kind == answer_kind::expired);
+    CHECK(test.stopped.size() == 1);
+}
+
+TEST_CASE("a stopping entry takes only what can end before it does")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.dispatcher.beginStop(test.time.steadyNow() + seconds(1));
+    test.submit(1, "short", 1, milliseconds(60));
+    test.submit(2, "long", 1, milliseconds(900));
+    CHECK(test.started.size() == 1);
+    CHECK(test.answers.at(2).kind == answer_kind::refused_unavailable);
+}
+
+TEST_CASE("no worker gets more tasks of a step than the step allows")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.addWorker("two");
+    job_spec spec;
+    spec.id = "job";
+    step_spec step;
+    step.count = 3;
+    step.shape = {1000, 64, 0};
+    step.estimate = milliseconds(500);
+    step.mostPerWorker = 1;
+    spec.steps = {step};
+    test.submit(1, spec);
+    REQUIRE(test.started.size() == 2);
+    CHECK(test.started[0].first != test.started[1].first);
+}
--- /dev/null
+++ b/src/dispatch/tests/route_table_test.cpp
@@ -0,0 +1,60 @@
+#include <doctest/doctest.h>
+
+#include "dispatch/entry_directory.h"
+#include "dispatch/route_table.h"
+#include "testing/virtual_time.h"
+
+using namespace azuremoor;
+
+namespace
+{
+
+route routeTo(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    route result;
+    result.name = name;
+    result.host = host;
+    result.pathPrefix = prefix;
+    return result;
+}
+
+}
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    route_table table;
+    REQUIRE(table.replace({1, {routeTo("short", "a", "/x/"), routeTo("long", "a", "/x/y/"), routeTo("other", "b", "/x/")}}));
+    CHECK(table.find("a", "/x/y/1")->name == "long");
+    CHECK(table.find("a", "/x/1")->name == "short");
+    CHECK(table.find("b", "/x/y/1")->name == "other");
+    CHECK(table.find("c", "/x/1") == nullptr);
+    CHECK(table.find("a", "/z/1") == nullptr);
+}
+
+TEST_CASE("a version that is not higher changes nothing")
+{
+    route_table table;
+    REQUIRE(table.replace({7, {routeTo("new", "a", "/")}}));
+    CHECK_FALSE(table.replace({7, {routeTo("other", "a", "/")}}));
+    CHECK_FALSE(table.replace({3, {routeTo("old", "a", "/")}}));
+    CHECK(table.version() == 7);
+    CHECK(table.find("a", "/1")->name == "new");
+}
+
+TEST_CASE("an entry that is gone for good is forgotten, and is not passed on")
+{
+    testing::virtual_time time;
+    const std::vector<std::string> seeds = {"10.0.0.1:1", "10.0.0.2:1"};
+    entry_directory directory(time, "10.0.0.1:1", seeds);
+    CHECK(directory.targets() == std::vector<std::string>{"10.0.0.2:1"});
+    const std::vector<std::string> heard = {"10.0.0.3:1"};
+    CHECK(directory.learn(heard));
+    CHECK_FALSE(directory.learn(heard));
+    CHECK(directory.alive() == std::vector<std::string>{"10.0.0.1:1"});
+    directory.setConnected("10.0.0.3:1", true);
+    CHECK(directory.alive() == std::vector<std::string>{"10.0.0.1:1", "10.0.0.3:1"});
+    directory.setConnected("10.0.0.3:1", false);
+    time.run(seconds(11));
+    CHECK(directory.expire());
+    CHECK(directory.targets() == std::vector<std::string>{"10.0.0.2:1"});
+}
