--- a/src/settings/tests/settings_test.cpp
+++ b/src/settings/tests/settings_test.cpp
@@ -1,47 +1,15 @@
-#include <doctest/doctest.h>
-
-#include <algorithm>
 #include <cstdlib>
-#include <iostream>
-#include <set>
-#include <sstream>
 
 #include "agent/agent_settings.h"
 #include "entry/entry_settings.h"
+#include "settings/tests/parse_settings.h"
 
 using namespace azuremoor;
+using namespace azuremoor::testing;
 
 namespace
 {
 
-struct parse_result {
-    std::optional<int> status;
-    std::string errors;
-};
-
-template<typename Settings>
-parse_result parse(std::vector<std::string> arguments, std::set<std::string> *flags = nullptr)
-{
-    Settings settings;
-    settings_parser parser("program", "test");
-    settings.declare(parser);
-    if (flags != nullptr) {
-        for (const CLI::Option *option : parser.app().get_options()) {
-            flags->insert(option->get_name());
-        }
-    }
-    arguments.insert(arguments.begin(), "program");
-    std::vector<char *> pointers;
-    for (std::string &argument : arguments) {
-        pointers.push_back(argument.data());
-    }
-    std::ostringstream captured;
-    std::streambuf *before = std::cerr.rdbuf(captured.rdbuf());
-    const std::optional<int> status = parser.parse(static_cast<int>(pointers.size()), pointers.data());
-    std::cerr.rdbuf(before);
-    return {status, captured.str()};
-}
-
 const std::vector<std::string> GOOD = {"--name", "one", "--data-centre", "dc-1", "--log", "http://127.0.0.1:80"};
 
 std::vector<std::string> with(const std::vector<std::string> &more)
@@ -90,21 +58,7 @@
 void checkTable(std::map<std::string, std::string> table)
 {
     table.insert(BAD_COMMON.begin(), BAD_COMMON.end());
-    std::set<std::string> flags;
-    CHECK(!parse<Settings>(GOOD, &flags).status);
-    for (const std::string own : {"--help", "--version", "--check"}) {
-        flags.erase(own);
-    }
-    for (const std::string &flag : flags) {
-        REQUIRE_MESSAGE(table.contains(flag), flag);
-    }
-    for (const auto &[flag, value] : table) {
-        const parse_result result = parse<Settings>(with({flag, value}));
-        CHECK_MESSAGE(result.status == WRONG_SETTINGS_STATUS, flag);
-        // A contradiction may be named by the other flag that it is with.
-        CHECK_MESSAGE(result.errors.find("--") != std::string::npos, (flag + ": " + result.errors));
-        CHECK_MESSAGE(std::count(result.errors.begin(), result.errors.end(), '\n') == 1, result.errors);
-    }
+    checkBadValues<Settings>(GOOD, table);
 }
 
 }
@@ -121,19 +75,20 @@
 
 TEST_CASE("unknown, missing and valid settings")
 {
-    CHECK(parse<entry_settings>(with({"--nonsense"})).status == WRONG_SETTINGS_STATUS);
-    CHECK(parse<entry_settings>(with({"--nonsense"})).errors.find("--nonsense") != std::string::npos);
-    CHECK(parse<entry_settings>({"--name", "one", "--log", "http://127.0.0.1:80"}).errors.find("--data-centre") != std::string::npos);
+    CHECK(parseSettings<entry_settings>(with({"--nonsense"})).status == WRONG_SETTINGS_STATUS);
+    CHECK(parseSettings<entry_settings>(with({"--nonsense"})).errors.find("--nonsense") != std::string::npos);
+    CHECK(parseSettings<entry_settings>({"--name", "one", "--log", "http://127.0.0.1:80"}).errors.find("--data-centre")
+          != std::string::npos);
     std::ostringstream captured;
     std::streambuf *before = std::cout.rdbuf(captured.rdbuf());
-    CHECK(parse<entry_settings>(with({"--check"})).status == 0);
+    CHECK(parseSettings<entry_settings>(with({"--check"})).status == 0);
     std::cout.rdbuf(before);
 }
 
 TEST_CASE("an environment variable stands for its flag, and a wrong one names it")
 {
     setenv("AZUREMOOR_HEARTBEAT_MS", "3", 1);
-    const parse_result result = parse<entry_settings>(GOOD);
+    const parse_result result = parseSettings<entry_settings>(GOOD);
     unsetenv("AZUREMOOR_HEARTBEAT_MS");
     CHECK(result.status == WRONG_SETTINGS_STATUS);
     CHECK(result.errors.find("--heartbeat-ms") != std::string::npos);
