Move runs away from workers that hang or have become slow

Cause: a run on a worker that hangs while its health is good stayed until its caller left, and a worker that turned slow was noticed only by the runs that it finished.

Change: agents report the progress of runs; an entry takes it as a sample of the worker's speed, and stops a run that stands still for 350 ms, or that a worker with 2.5 times the usual slowness would finish later than another from the start. The run starts elsewhere once its end is proved.

--- a/src/dispatch/active_job.cpp
+++ b/src/dispatch/active_job.cpp
@@ -15,7 +15,7 @@
 {
     for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
         for (std::uint32_t index = 0; index < spec.steps[step].count; ++index) {
-            tasks.push_back({step, index, task_state::blocked, 0, 0, {}});
+            tasks.push_back({step, index, task_state::blocked, 0, 0, 0, {}});
         }
     }
     releaseSteps();
--- a/src/dispatch/active_job.h
+++ b/src/dispatch/active_job.h
@@ -33,6 +33,8 @@
     std::uint32_t runNumber = 0;
     /// Runs that failed.
     std::uint32_t failedRuns = 0;
+    /// Runs that were stopped because their worker hung or was slow.
+    std::uint32_t movedRuns = 0;
     /// Agent whose worker ended the latest run without success.
     std::string avoidedAgent;
 };
--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -21,6 +21,9 @@
 /// A waiting job is looked at again when this part of the time to its objective has passed.
 constexpr int CONFIRM_DIVISOR = 5;
 
+/// Runs of one task that are moved from a worker that hangs or is slow, at most.
+constexpr std::uint32_t MAX_MOVES = 3;
+
 /// Bound on the time that a job takes at a stopping entry: this many times its estimate, and the slack.
 constexpr int STOP_FACTOR = 2;
 constexpr milliseconds STOP_SLACK{200};
@@ -40,12 +43,14 @@
                                worker_pool &pool,
                                placement_policy &placement,
                                const admission_policy &admission,
+                               const straggler_policy &stragglers,
                                answer_sink &answers,
                                decision_journal &journal)
     : m_time(time)
     , m_pool(pool)
     , m_placement(placement)
     , m_admission(admission)
+    , m_stragglers(stragglers)
     , m_answers(answers)
     , m_journal(journal)
 {
@@ -208,6 +213,7 @@
     for (const std::uint64_t number : expired) {
         finish(m_jobs.at(number), {answer_kind::expired, "not done by the deadline", {}});
     }
+    moveStragglers();
 }
 
 void job_dispatcher::beginStop(steady_time end)
@@ -350,6 +356,49 @@
     return result;
 }
 
+void job_dispatcher::moveStragglers()
+{
+    const steady_time now = m_time.steadyNow();
+    const double usual = usualSlowness(m_pool);
+    for (auto &[agent, worker] : m_pool.workers()) {
+        if (!m_pool.isUsable(worker)) {
+            continue;
+        }
+        for (const auto &[sequence, run] : worker.runs) {
+            const run_health health = run.stopping ? run_health::sound : m_stragglers.judge(worker, run, usual, now);
+            if (health != run_health::sound) {
+                moveRun(worker, sequence, health);
+            }
+        }
+    }
+}
+
+void job_dispatcher::moveRun(worker_view &worker, std::uint64_t sequence, run_health health)
+{
+    const task_reference reference = worker.runs.at(sequence).task;
+    active_job &job = m_jobs.at(reference.job);
+    const active_task &task = job.tasks[reference.task];
+    if (job.isEnding || task.movedRuns >= MAX_MOVES) {
+        return;
+    }
+    const placement_request elsewhere{&job.stepOf(reference.task), job.rule.service, worker.agent, {worker.agent}};
+    if (m_placement.choose(m_pool, elsewhere) == nullptr) {
+        return;
+    }
+    ++job.tasks[reference.task].movedRuns;
+    ++m_counters.movedRuns;
+    if (health == run_health::stalled) {
+        worker.performance.noteFailed(m_time.steadyNow());
+    }
+    m_journal.note("run_moved",
+                   {{"job", job.spec.id},
+                    {"task", job.taskName(reference.task)},
+                    {"agent", worker.agent},
+                    {"health", std::string(runHealthName(health))},
+                    {"percent", std::to_string(worker.runs.at(sequence).percent.value_or(0))}});
+    m_pool.stopRun(worker, sequence);
+}
+
 void job_dispatcher::confirm(active_job &job)
 {
     job.isConfirmed = true;
--- a/src/dispatch/job_dispatcher.h
+++ b/src/dispatch/job_dispatcher.h
@@ -12,6 +12,7 @@
 #include "dispatch/active_job.h"
 #include "dispatch/admission_policy.h"
 #include "dispatch/placement_policy.h"
+#include "dispatch/straggler_policy.h"
 #include "dispatch/worker_pool.h"
 
 namespace azuremoor
@@ -59,6 +60,7 @@
     std::uint64_t retries = 0;
     std::uint64_t failedRuns = 0;
     std::uint64_t refusedOrders = 0;
+    std::uint64_t movedRuns = 0;
     std::uint64_t abandoned = 0;
     std::uint64_t answers[6] = {};
 };
@@ -76,6 +78,7 @@
                    worker_pool &pool,
                    placement_policy &placement,
                    const admission_policy &admission,
+                   const straggler_policy &stragglers,
                    answer_sink &answers,
                    decision_journal &journal);
 
@@ -124,6 +127,8 @@
     void endUnsuccessfulRun(active_job &job, active_task &task, run_outcome outcome, const std::string &agent);
     bool placeTasks(active_job &job);
     std::set<std::string> agentsAtLimit(const active_job &job, std::uint32_t step) const;
+    void moveStragglers();
+    void moveRun(worker_view &worker, std::uint64_t sequence, run_health health);
     void confirm(active_job &job);
     void finish(active_job &job, const job_answer &answer);
     void forgetIfOver(active_job &job);
@@ -134,6 +139,7 @@
     worker_pool &m_pool;
     placement_policy &m_placement;
     const admission_policy &m_admission;
+    const straggler_policy &m_stragglers;
     answer_sink &m_answers;
     decision_journal &m_journal;
     std::map<std::uint64_t, active_job> m_jobs;
--- /dev/null
+++ b/src/dispatch/straggler_policy.cpp
@@ -0,0 +1,69 @@
+#include "dispatch/straggler_policy.h"
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace azuremoor
+{
+
+namespace
+{
+
+/// Time without progress after which a run counts as stalled, if its worker reports meanwhile.
+constexpr microseconds STALL_TIME = milliseconds(350);
+
+/// Age of the latest report up to which it says something about progress.
+constexpr microseconds FRESH_REPORT = milliseconds(250);
+
+/// How many times slower than the others a worker has to be, and how many times longer a run has to take, to be moved.
+constexpr double SLOW_WORKER = 2.5;
+constexpr double WORTH_MOVING = 2;
+
+constexpr double WHOLE_PERCENT = 100;
+
+}
+
+std::string_view runHealthName(run_health health)
+{
+    constexpr std::array<std::string_view, 3> NAMES = {"sound", "stalled", "slow"};
+    return NAMES[static_cast<std::size_t>(health)];
+}
+
+run_health progress_straggler_policy::judge(const worker_view &worker,
+                                            const worker_view::outstanding_run &run,
+                                            double usualSlowness,
+                                            steady_time now) const
+{
+    if (!run.percent || now >= worker.statusAt + FRESH_REPORT) {
+        return run_health::sound;
+    }
+    if (now >= run.lastAdvance + STALL_TIME) {
+        return run_health::stalled;
+    }
+    if (*run.percent == 0 || worker.performance.slowness() < SLOW_WORKER * usualSlowness) {
+        return run_health::sound;
+    }
+    const double elapsed = static_cast<double>((now - run.orderedAt).count());
+    const double left = elapsed * (WHOLE_PERCENT - *run.percent) / *run.percent;
+    const double elsewhere = static_cast<double>(run.estimate.count()) * usualSlowness;
+    return left > WORTH_MOVING * elsewhere ? run_health::slow : run_health::sound;
+}
+
+double usualSlowness(const worker_pool &pool)
+{
+    std::vector<double> all;
+    for (const auto &[agent, worker] : pool.workers()) {
+        if (pool.isUsable(worker)) {
+            all.push_back(worker.performance.slowness());
+        }
+    }
+    if (all.empty()) {
+        return 1;
+    }
+    const auto middle = all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2);
+    std::nth_element(all.begin(), middle, all.end());
+    return *middle;
+}
+
+}
--- a/src/dispatch/tests/dispatch_history.cpp
+++ b/src/dispatch/tests/dispatch_history.cpp
@@ -82,7 +82,7 @@
         , m_directory(history.m_time, introduction.name, {})
         , m_pool(history.m_time, silenceRules(history.m_settings), *this, m_journal)
         , m_placement(history.m_time, "dc", 1, incarnation)
-        , dispatcher(history.m_time, m_pool, m_placement, m_admission, *this, m_journal)
+        , dispatcher(history.m_time, m_pool, m_placement, m_admission, m_stragglers, *this, m_journal)
         , node(history.m_time, m_directory, m_routes, m_reader, m_pool, dispatcher, *this, m_journal)
     {
         m_journal.setListener(history.m_settings.isTraced ? &m_printer : nullptr);
@@ -147,6 +147,7 @@
     worker_pool m_pool;
     earliest_done_placement m_placement;
     fair_share_admission m_admission;
+    progress_straggler_policy m_stragglers;
 
 public:
     job_dispatcher dispatcher;
--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -17,7 +17,7 @@
         : journal(time)
         , pool(time, {}, *this, journal)
         , placement(time, "dc", 1.5, 1)
-        , dispatcher(time, pool, placement, admission, *this, journal)
+        , dispatcher(time, pool, placement, admission, stragglers, *this, journal)
     {
         pool.setListener(dispatcher);
         rule.name = "queue";
@@ -99,11 +99,21 @@
         dispatcher.placeWaiting();
     }
 
+    /// The agent reports its worker's latest state again, with the progress of one run.
+    void reportProgress(const std::string &agent, std::uint64_t sequence, std::uint8_t percent)
+    {
+        worker_status status = pool.workers().at(agent).status;
+        status.appliedOrder = sequence;
+        status.progress = {{sequence, percent}};
+        pool.updateStatus(agent, status);
+    }
+
     virtual_time time;
     decision_journal journal;
     worker_pool pool;
     earliest_done_placement placement;
     fair_share_admission admission;
+    progress_straggler_policy stragglers;
     job_dispatcher dispatcher;
     route rule;
     std::vector<std::pair<std::string, run_order>> started;
@@ -391,3 +401,56 @@
     REQUIRE(test.started.size() == 2);
     CHECK(test.started[0].first != test.started[1].first);
 }
+
+TEST_CASE("stuck tasks: a run without progress is stopped and started elsewhere once its end is proved")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "job", 1, milliseconds(900));
+    test.addWorker("two");
+    for (int step = 0; step < 10 && test.stopped.empty(); ++step) {
+        test.reportProgress("one", 1, 7);
+        test.passTime(milliseconds(50));
+    }
+    CHECK(test.stopped.size() == 1);
+    CHECK(test.started.size() == 1);
+    test.end(0, run_outcome::stopped);
+    REQUIRE(test.started.size() == 2);
+    CHECK(test.started[1].first == "two");
+}
+
+TEST_CASE("stuck tasks: a run that makes progress, or whose agent is silent, is left alone")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "job", 1, milliseconds(900));
+    test.addWorker("two");
+    for (std::uint8_t step = 0; step < 16; ++step) {
+        test.reportProgress("one", 1, 5 * step);
+        test.passTime(milliseconds(50));
+    }
+    test.passTime(milliseconds(600));
+    CHECK(test.stopped.empty());
+}
+
+TEST_CASE("slow worker: long runs move to another when that is done sooner")
+{
+    tested_dispatcher test;
+    test.addWorker("slow", 100'000);
+    for (std::uint64_t request = 1; request <= 12; ++request) {
+        test.submit(request, "job" + std::to_string(request), 1, milliseconds(900));
+    }
+    test.addWorker("good", 100'000);
+    test.addWorker("other", 100'000);
+    test.time.run(milliseconds(100));
+    for (std::uint64_t sequence = 1; sequence <= 12; ++sequence) {
+        // Seven times as slow as estimated.
+        test.reportProgress("slow", sequence, 3);
+    }
+    test.passTime(milliseconds(60));
+    for (std::uint64_t sequence = 1; sequence <= 12; ++sequence) {
+        test.reportProgress("slow", sequence, 4);
+    }
+    test.passTime(milliseconds(10));
+    CHECK(test.stopped.size() == 12);
+}
--- a/src/dispatch/worker_performance.cpp
+++ b/src/dispatch/worker_performance.cpp
@@ -10,7 +10,7 @@
 {
 
 /// Weight of the latest run in the averages.
-constexpr double SLOWNESS_WEIGHT = 0.1;
+constexpr double SLOWNESS_WEIGHT = 0.15;
 constexpr double FAILURE_WEIGHT = 0.25;
 
 /// Bounds on what one run can say about slowness, as a logarithm.
@@ -24,6 +24,11 @@
 void worker_performance::noteDone(microseconds estimate, microseconds observed, steady_time now)
 {
     noteOutcome(0, now);
+    noteSpeed(estimate, observed);
+}
+
+void worker_performance::noteSpeed(microseconds estimate, microseconds observed)
+{
     if (estimate <= microseconds(0) || observed <= microseconds(0)) {
         return;
     }
--- a/src/dispatch/worker_performance.h
+++ b/src/dispatch/worker_performance.h
@@ -13,6 +13,9 @@
     /// Notes a run that was done, with its estimated and its observed run time.
     void noteDone(microseconds estimate, microseconds observed, steady_time now);
 
+    /// Notes the run time that the progress of a run lets expect.
+    void noteSpeed(microseconds estimate, microseconds expected);
+
     /// Notes a run that failed, or that stood still until it was stopped.
     void noteFailed(steady_time now);
 
--- a/src/dispatch/worker_pool.cpp
+++ b/src/dispatch/worker_pool.cpp
@@ -11,6 +11,10 @@
 /// Time after which a worker that is gone and owes no result is forgotten.
 constexpr microseconds FORGET_AFTER = seconds(30);
 
+/// Progress and age from which on a run tells the speed of its worker.
+constexpr std::uint8_t SAMPLE_PERCENT = 3;
+constexpr microseconds SAMPLE_AGE = milliseconds(60);
+
 std::uint32_t lessOrZero(std::uint32_t value, std::uint32_t subtracted)
 {
     return value - std::min(value, subtracted);
@@ -96,6 +100,9 @@
         endOrphans(worker, "successor ready");
     }
     worker.statusAt = m_time.steadyNow();
+    for (const run_progress &progress : status.progress) {
+        updateProgress(worker, progress);
+    }
     if (changed) {
         m_journal.note("worker_state",
                        {{"agent", agent},
@@ -126,7 +133,7 @@
 void worker_pool::order(worker_view &worker, const task_reference &task, run_order order, microseconds estimate)
 {
     order.sequence = ++worker.lastOrder;
-    worker.runs[order.sequence] = {task, order.shape, estimate, m_time.steadyNow(), false};
+    worker.runs[order.sequence] = {task, order.shape, estimate, m_time.steadyNow(), false, std::nullopt, {}, false};
     start_runs &batch = m_orders[worker.agent];
     batch.worker = worker.status.worker;
     batch.orders.push_back(std::move(order));
@@ -194,6 +201,25 @@
     return m_workers;
 }
 
+void worker_pool::updateProgress(worker_view &worker, const run_progress &progress)
+{
+    const auto found = worker.runs.find(progress.sequence);
+    if (found == worker.runs.end()) {
+        return;
+    }
+    worker_view::outstanding_run &run = found->second;
+    const steady_time now = m_time.steadyNow();
+    if (!run.percent || progress.percent > *run.percent) {
+        run.percent = progress.percent;
+        run.lastAdvance = now;
+    }
+    const microseconds elapsed = now - run.orderedAt;
+    if (!run.isSampled && progress.percent >= SAMPLE_PERCENT && progress.percent < 100 && elapsed >= SAMPLE_AGE) {
+        run.isSampled = true;
+        worker.performance.noteSpeed(run.estimate, elapsed * 100 / progress.percent);
+    }
+}
+
 void worker_pool::orphanRuns(worker_view &worker)
 {
     for (const auto &[sequence, run] : worker.runs) {
--- a/src/dispatch/worker_pool.h
+++ b/src/dispatch/worker_pool.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,12 @@
         microseconds estimate{0};
         steady_time orderedAt;
         bool stopping = false;
+        /// Latest progress that the agent reported, in percent.
+        std::optional<std::uint8_t> percent;
+        /// When the progress last rose.
+        steady_time lastAdvance{};
+        /// The progress has been taken as a sample of the worker's speed.
+        bool isSampled = false;
     };
 
     std::string agent;
@@ -125,6 +132,7 @@
     const std::map<std::string, worker_view> &workers() const;
 
 private:
+    void updateProgress(worker_view &worker, const run_progress &progress);
     void orphanRuns(worker_view &worker);
     void endOrphans(worker_view &worker, const std::string &reason);
     void endSilentRuns(worker_view &worker);
