Keep several renewals under way while answers get lost

Change: for 3 s after a lost answer three renewals wait for ends side by side; an order without an answer counts as unknown after 85 ms.

--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -24,6 +24,10 @@
 /// Longest wait of a renewal for an end.
 constexpr milliseconds RENEWAL_WAIT{120};
 
+/// Renewals that are kept under way while answers get lost, so that ends are seen in time, and how long a loss counts.
+constexpr std::size_t RENEWALS_WITH_LOSSES = 3;
+constexpr milliseconds LOSSY_TIME{3000};
+
 /// Earlier lives of the worker that are remembered, so that their late reports are told.
 constexpr std::size_t MAX_FORMER_WORKERS = 64;
 
@@ -66,6 +70,8 @@
     std::size_t renewalsUnderWay = 0;
     steady_time lastRenewal;
     steady_time lastAnswer;
+    /// Answers have been lost lately: until then several renewals are kept under way.
+    steady_time lossyUntil;
     std::map<run_key, steady_time> foreignStops;
 };
 
@@ -181,9 +187,13 @@
             sendStop(key, run);
         }
     }
-    if (m_worker->renewalsUnderWay == 0 || now >= m_worker->lastRenewal + m_rules.renewal) {
-        // A second renewal beside one that hangs goes without waiting, over another connection.
-        renew(m_worker->renewalsUnderWay == 0 ? RENEWAL_WAIT : milliseconds(0));
+    const std::size_t wanted = now < m_worker->lossyUntil ? RENEWALS_WITH_LOSSES : 1;
+    while (m_worker->renewalsUnderWay < wanted) {
+        renew(RENEWAL_WAIT);
+    }
+    if (now >= m_worker->lastRenewal + m_rules.renewal) {
+        // All that are under way seem to be lost: another one goes without waiting.
+        renew(milliseconds(0));
     }
 }
 
@@ -300,6 +310,7 @@
         loseWorker(run_outcome::worker_lost, "does not answer to its name any more");
         return;
     case order_reply::unknown:
+        m_worker->lossyUntil = m_time.steadyNow() + LOSSY_TIME;
         sendStop(key, run);
         return;
     case order_reply::fenced:
@@ -371,6 +382,7 @@
         return;
     }
     if (reply.reply != order_reply::accepted) {
+        m_worker->lossyUntil = m_time.steadyNow() + LOSSY_TIME;
         m_journal.note("renewal_failed", {{"worker", worker}, {"reply", std::string(orderReplyName(reply.reply))}});
         return;
     }
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -21,7 +21,7 @@
     /// Length of an entry's lease at an agent, from the sending of the last heartbeat that it answered.
     milliseconds entryLease{450};
     /// Time after which an order without an answer counts as unknown.
-    milliseconds orderTimeout{150};
+    milliseconds orderTimeout{85};
     /// Interval at which a lease is renewed at least.
     milliseconds renewal{150};
 
