--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -249,8 +249,9 @@
 
 job_dispatcher::queue_key job_dispatcher::keyOf(const active_job &job)
 {
-    const urgency late = job.hasStarted() ? urgency::late_begun : urgency::late;
-    return {job.isLate ? late : urgency::in_time, job.latestStart(), job.number};
+    // What has begun is finished first: ended halfway it would be lost work.
+    const bool isLast = job.isLate && !job.hasStarted();
+    return {isLast ? urgency::late : urgency::in_time_or_begun, job.latestStart(), job.number};
 }
 
 void job_dispatcher::enqueue(active_job &job)
@@ -270,10 +271,12 @@
     const steady_time now = m_time.steadyNow();
     std::vector<std::uint64_t> late;
     for (const queue_key &key : m_waiting) {
-        if (key.rank != urgency::in_time || key.latestStart >= now) {
+        if (key.rank != urgency::in_time_or_begun || key.latestStart >= now) {
             break;
         }
-        late.push_back(key.job);
+        if (!m_jobs.at(key.job).hasStarted()) {
+            late.push_back(key.job);
+        }
     }
     for (const std::uint64_t number : late) {
         enqueue(m_jobs.at(number));
--- a/src/dispatch/job_dispatcher.h
+++ b/src/dispatch/job_dispatcher.h
@@ -117,14 +117,13 @@
     const dispatch_counters &counters() const;
 
 private:
-    /// Who goes first among waiting jobs: those that can still meet their objective, then those that have begun, then the rest.
+    /// Who goes first among waiting jobs: those that can still meet their objective or have begun, then the rest.
     enum class urgency : std::uint8_t {
-        in_time,
-        late_begun,
+        in_time_or_begun,
         late,
     };
     struct queue_key {
-        urgency rank = urgency::in_time;
+        urgency rank = urgency::in_time_or_begun;
         steady_time latestStart;
         std::uint64_t job = 0;
 
