--- a/src/runs/run_agent.cpp
+++ b/src/runs/run_agent.cpp
@@ -125,11 +125,11 @@
            });
 }
 
-void run_agent::endRun(const std::string &session, std::uint64_t sequence, run_outcome outcome)
+void run_agent::endRun(const std::string &session, const run_result &result)
 {
     const auto found = m_sessions.find(session);
     if (found != m_sessions.end()) {
-        found->second.results.push_back({sequence, outcome});
+        found->second.results.push_back(result);
     }
     m_statusChanged = true;
 }
@@ -171,7 +171,7 @@
     for (const run_order &order : orders.orders) {
         session.appliedOrder = std::max(session.appliedOrder, order.sequence);
         if (session.expired) {
-            endRun(name, order.sequence, run_outcome::closed);
+            endRun(name, {order.sequence, run_outcome::closed, 0});
         } else {
             m_supervisor.start(name, orders.worker, order);
         }
