Revert the queue at the agents

Handing out free room to one entry at a time, by urgency, is the way left to try (docs/PLACEMENT.md).

--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -356,7 +356,6 @@
 bool job_dispatcher::placeTasks(active_job &job)
 {
     bool isPlaced = true;
-    const std::int64_t slack = (job.latestStart() - m_time.steadyNow()).count();
     for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
         active_task &task = job.tasks[index];
         if (task.state != task_state::waiting) {
@@ -378,8 +377,7 @@
                         {"agent", worker->agent},
                         {"free_millicores", std::to_string(worker->freeRoom().milliCores)},
                         {"status_age_us", std::to_string((m_time.steadyNow() - worker->statusAt).count())}});
-        m_pool.order(
-            *worker, {job.number, index}, {0, job.taskName(index), task.runNumber, job.spec.payload, step.shape, slack}, step.estimate);
+        m_pool.order(*worker, {job.number, index}, {0, job.taskName(index), task.runNumber, job.spec.payload, step.shape}, step.estimate);
     }
     return isPlaced;
 }
--- a/src/dispatch/placement_policy.cpp
+++ b/src/dispatch/placement_policy.cpp
@@ -17,12 +17,6 @@
 constexpr double QUARANTINE_RATE = 0.5;
 constexpr double QUARANTINE_PENALTY = 50;
 
-/// Part of a worker's capacity that waiting orders may need together. Agents refuse beyond twice as much.
-constexpr std::uint32_t QUEUE_DIVISOR = 4;
-
-/// Time in which the runs of a worker end, for want of a better estimate.
-constexpr double TYPICAL_RUN_MICROSECONDS = 200'000;
-
 /// Spreads tasks of several entries over workers that are about equally good.
 constexpr double TIE_SPREAD = 0.08;
 
@@ -32,20 +26,6 @@
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-/// Returns whether the task may wait at the worker: it could run there, and little waits already.
-bool hasShortQueue(const worker_view &worker, const step_spec &step)
-{
-    const std::uint32_t limit = worker.status.capacity.milliCores / QUEUE_DIVISOR;
-    return step.shape.fitsInto(worker.status.capacity) && worker.queuedMilliCores() + step.shape.milliCores <= limit;
-}
-
-/// Returns the time until there is room: the runs that are under way make room evenly over the time that one takes.
-double expectedQueueMicroseconds(const worker_view &worker, const step_spec &step)
-{
-    const double needed = static_cast<double>(worker.queuedMilliCores()) + step.shape.milliCores;
-    return TYPICAL_RUN_MICROSECONDS * worker.performance.slowness() * needed / std::max<double>(worker.status.capacity.milliCores, 1);
-}
-
 bool isEligible(const worker_view &worker, const placement_request &request)
 {
     return worker.status.service == request.service && hasLabel(worker, request.step->requiredLabel);
@@ -66,17 +46,11 @@
     worker_view *best = nullptr;
     double bestExpected = std::numeric_limits<double>::max();
     for (auto &[agent, worker] : pool.workers()) {
-        if (!pool.isUsable(worker) || !isEligible(worker, request) || request.excludedAgents.contains(agent)) {
-            continue;
-        }
-        const bool hasRoom = request.step->shape.fitsInto(worker.freeRoom()) && worker.queuedMilliCores() == 0;
-        if (!hasRoom && !hasShortQueue(worker, *request.step)) {
+        if (!pool.isUsable(worker) || !isEligible(worker, request) || request.excludedAgents.contains(agent)
+            || !request.step->shape.fitsInto(worker.freeRoom())) {
             continue;
         }
         double expected = expectedMicroseconds(worker, *request.step);
-        if (!hasRoom) {
-            expected += expectedQueueMicroseconds(worker, *request.step);
-        }
         if (agent == request.avoidedAgent) {
             expected *= QUARANTINE_PENALTY;
         }
--- a/src/dispatch/placement_policy.h
+++ b/src/dispatch/placement_policy.h
@@ -27,7 +27,7 @@
 public:
     virtual ~placement_policy() = default;
 
-    /// Returns the worker for the task, or null when none has room now, and none has a short queue.
+    /// Returns the worker for the task, or null when none has room now.
     virtual worker_view *choose(worker_pool &pool, const placement_request &request) = 0;
 
     /// Returns whether some worker could run the task if it were idle.
--- a/src/dispatch/straggler_policy.cpp
+++ b/src/dispatch/straggler_policy.cpp
@@ -44,7 +44,7 @@
     if (*run.percent == 0 || worker.performance.slowness() < SLOW_WORKER * usualSlowness) {
         return run_health::sound;
     }
-    const double elapsed = static_cast<double>((now - run.startedAt.value_or(run.orderedAt)).count());
+    const double elapsed = static_cast<double>((now - run.orderedAt).count());
     const double left = elapsed * (WHOLE_PERCENT - *run.percent) / *run.percent;
     const double elsewhere = static_cast<double>(run.estimate.count()) * usualSlowness;
     return left > WORTH_MOVING * elsewhere ? run_health::slow : run_health::sound;
--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -86,7 +86,7 @@
     void end(std::size_t position, run_outcome outcome)
     {
         const auto &[agent, order] = started.at(position);
-        pool.receiveResults(agent, {++m_results[agent], {{order.sequence, outcome, 100000}}});
+        pool.receiveResults(agent, {++m_results[agent], {{order.sequence, outcome}}});
         dispatcher.placeWaiting();
     }
 
@@ -104,7 +104,7 @@
     {
         worker_status status = pool.workers().at(agent).status;
         status.appliedOrder = sequence;
-        status.progress = {{sequence, percent, (time.steadyNow() - pool.workers().at(agent).runs.at(sequence).orderedAt).count()}};
+        status.progress = {{sequence, percent}};
         pool.updateStatus(agent, status);
     }
 
--- a/src/dispatch/worker_pool.cpp
+++ b/src/dispatch/worker_pool.cpp
@@ -33,15 +33,6 @@
     return free;
 }
 
-std::uint32_t worker_view::queuedMilliCores() const
-{
-    std::uint32_t ordered = 0;
-    for (auto run = runs.upper_bound(status.appliedOrder); run != runs.end(); ++run) {
-        ordered += run->second.shape.milliCores;
-    }
-    return status.queuedMilliCores + lessOrZero(ordered, status.free.milliCores);
-}
-
 worker_pool::worker_pool(const time_source &time, silence_rules rules, peer_outbox &outbox, decision_journal &journal)
     : m_time(time)
     , m_rules(rules)
@@ -132,7 +123,7 @@
     for (const run_result &result : results.results) {
         if (number > worker.lastResult) {
             worker.lastResult = number;
-            endRun(worker, result);
+            endRun(worker, result.sequence, result.outcome);
         }
         ++number;
     }
@@ -142,7 +133,7 @@
 void worker_pool::order(worker_view &worker, const task_reference &task, run_order order, microseconds estimate)
 {
     order.sequence = ++worker.lastOrder;
-    worker.runs[order.sequence] = {task, order.shape, estimate, m_time.steadyNow(), std::nullopt, false, std::nullopt, {}, false};
+    worker.runs[order.sequence] = {task, order.shape, estimate, m_time.steadyNow(), false, std::nullopt, {}, false};
     start_runs &batch = m_orders[worker.agent];
     batch.worker = worker.status.worker;
     batch.orders.push_back(std::move(order));
@@ -222,8 +213,7 @@
         run.percent = progress.percent;
         run.lastAdvance = now;
     }
-    const microseconds elapsed(progress.ageMicroseconds);
-    run.startedAt = now - elapsed;
+    const microseconds elapsed = now - run.orderedAt;
     if (!run.isSampled && progress.percent >= SAMPLE_PERCENT && progress.percent < 100 && elapsed >= SAMPLE_AGE) {
         run.isSampled = true;
         worker.performance.noteSpeed(run.estimate, elapsed * 100 / progress.percent);
@@ -262,31 +252,31 @@
     m_journal.note("runs_presumed_ended",
                    {{"agent", worker.agent}, {"reason", "agent silent"}, {"runs", std::to_string(worker.runs.size())}});
     while (!worker.runs.empty()) {
-        endRun(worker, {worker.runs.begin()->first, run_outcome::lapsed, 0});
+        endRun(worker, worker.runs.begin()->first, run_outcome::lapsed);
     }
 }
 
-void worker_pool::endRun(worker_view &worker, const run_result &result)
+void worker_pool::endRun(worker_view &worker, std::uint64_t sequence, run_outcome outcome)
 {
-    const auto found = worker.runs.find(result.sequence);
+    const auto found = worker.runs.find(sequence);
     if (found == worker.runs.end()) {
         return;
     }
     const worker_view::outstanding_run run = found->second;
     worker.runs.erase(found);
     const steady_time now = m_time.steadyNow();
-    if (result.outcome == run_outcome::done) {
-        worker.performance.noteDone(run.estimate, microseconds(result.elapsedMicroseconds), now);
-    } else if (result.outcome == run_outcome::failed) {
+    if (outcome == run_outcome::done) {
+        worker.performance.noteDone(run.estimate, now - run.orderedAt, now);
+    } else if (outcome == run_outcome::failed) {
         worker.performance.noteFailed(now);
     }
-    m_listener->endRun(run.task, result.outcome, worker.agent);
+    m_listener->endRun(run.task, outcome, worker.agent);
 }
 
 void worker_pool::dropUnknownOrders(worker_view &worker, std::uint64_t appliedOrder)
 {
     while (!worker.runs.empty() && worker.runs.rbegin()->first > appliedOrder) {
-        endRun(worker, {worker.runs.rbegin()->first, run_outcome::closed, 0});
+        endRun(worker, worker.runs.rbegin()->first, run_outcome::closed);
     }
 }
 
--- a/src/dispatch/worker_pool.h
+++ b/src/dispatch/worker_pool.h
@@ -41,8 +41,6 @@
         task_shape shape;
         microseconds estimate{0};
         steady_time orderedAt;
-        /// When the run was started, as far as the agent has told.
-        std::optional<steady_time> startedAt;
         bool stopping = false;
         /// Latest progress that the agent reported, in percent.
         std::optional<std::uint8_t> percent;
@@ -70,9 +68,6 @@
     steady_time orphansEndBy;
     worker_performance performance;
 
-    /// Returns the thousandths of a core that wait for room at the agent once all orders that are under way have arrived.
-    std::uint32_t queuedMilliCores() const;
-
     /// Returns the room that is left once all orders that are under way have arrived.
     task_shape freeRoom() const;
 };
@@ -141,7 +136,7 @@
     void orphanRuns(worker_view &worker);
     void endOrphans(worker_view &worker, const std::string &reason);
     void endSilentRuns(worker_view &worker);
-    void endRun(worker_view &worker, const run_result &result);
+    void endRun(worker_view &worker, std::uint64_t sequence, run_outcome outcome);
     void dropUnknownOrders(worker_view &worker, std::uint64_t appliedOrder);
 
     const time_source &m_time;
--- a/src/messages/run_messages.h
+++ b/src/messages/run_messages.h
@@ -51,8 +51,6 @@
     std::uint32_t number = 1;
     std::string payload;
     task_shape shape;
-    /// Time left, when the order is sent, until the run has to begin to be in time; negative when it is late.
-    std::int64_t slackMicroseconds = 0;
 
     template<typename Archive>
     void serialize(Archive &archive)
@@ -61,7 +59,7 @@
         archiveText(archive, task);
         archive(number);
         archiveText<MAX_PAYLOAD_BYTES>(archive, payload);
-        archive(shape, slackMicroseconds);
+        archive(shape);
     }
 };
 
@@ -94,13 +92,11 @@
 struct run_result {
     std::uint64_t sequence = 0;
     run_outcome outcome = run_outcome::closed;
-    /// Time that the run took at the worker; 0 if it never began.
-    std::int64_t elapsedMicroseconds = 0;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, elapsedMicroseconds);
+        archive(sequence);
         archiveEnumeration(archive, outcome, run_outcome::rejected);
     }
 };
@@ -130,18 +126,16 @@
     }
 };
 
-/// Progress of one run.
+/// Progress of one run, when it differs from what its age suggests.
 struct run_progress {
     std::uint64_t sequence = 0;
     /// Share of the work that is done, in percent.
     std::uint8_t percent = 0;
-    /// Time since the run was started.
-    std::int64_t ageMicroseconds = 0;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, percent, ageMicroseconds);
+        archive(sequence, percent);
     }
 };
 
@@ -156,8 +150,6 @@
     std::vector<std::string> labels;
     task_shape capacity;
     task_shape free;
-    /// Thousandths of a core that the orders need that wait for room at the agent.
-    std::uint32_t queuedMilliCores = 0;
     /// Sequence of the receiver's latest order that the free room accounts for.
     std::uint64_t appliedOrder = 0;
     /// Progress of the receiver's runs.
@@ -171,7 +163,7 @@
         archiveText(archive, worker);
         archiveText(archive, service);
         archiveNames(archive, labels);
-        archive(capacity, free, queuedMilliCores, appliedOrder);
+        archive(capacity, free, appliedOrder);
         archiveList(archive, progress);
     }
 };
--- a/src/runs/run_agent.cpp
+++ b/src/runs/run_agent.cpp
@@ -125,11 +125,11 @@
            });
 }
 
-void run_agent::endRun(const std::string &session, const run_result &result)
+void run_agent::endRun(const std::string &session, std::uint64_t sequence, run_outcome outcome)
 {
     const auto found = m_sessions.find(session);
     if (found != m_sessions.end()) {
-        found->second.results.push_back(result);
+        found->second.results.push_back({sequence, outcome});
     }
     m_statusChanged = true;
 }
@@ -171,7 +171,7 @@
     for (const run_order &order : orders.orders) {
         session.appliedOrder = std::max(session.appliedOrder, order.sequence);
         if (session.expired) {
-            endRun(name, {order.sequence, run_outcome::closed, 0});
+            endRun(name, order.sequence, run_outcome::closed);
         } else {
             m_supervisor.start(name, orders.worker, order);
         }
--- a/src/runs/run_agent.h
+++ b/src/runs/run_agent.h
@@ -47,7 +47,7 @@
     /// Returns whether no run is under way and all results have been acknowledged.
     bool isIdle() const;
 
-    void endRun(const std::string &session, const run_result &result) override;
+    void endRun(const std::string &session, std::uint64_t sequence, run_outcome outcome) override;
     void changeWorker() override;
 
     /// Returns the part that deals with the worker.
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -28,13 +28,6 @@
 constexpr std::size_t RENEWALS_WITH_LOSSES = 3;
 constexpr milliseconds LOSSY_TIME{3000};
 
-/// How long an order waits for room at most, and the part of the worker's capacity that waiting orders may need together.
-constexpr milliseconds LONGEST_WAIT{400};
-constexpr std::uint32_t QUEUE_DIVISOR = 2;
-
-/// Waiting orders that a less urgent one may pass because they need more room.
-constexpr std::size_t MAX_PASSED_OVER = 3;
-
 /// Earlier lives of the worker that are remembered, so that their late reports are told.
 constexpr std::size_t MAX_FORMER_WORKERS = 64;
 
@@ -112,7 +105,6 @@
     m_worker->report = report;
     if (report.draining && !m_worker->draining) {
         m_worker->draining = true;
-        giveBack([](const waiting_order &) { return true; }, run_outcome::closed);
         m_journal.note("worker_draining", {{"worker", report.worker}, {"runs", std::to_string(m_runs.size())}});
         m_listener.changeWorker();
     }
@@ -128,101 +120,38 @@
 
 void run_supervisor::start(const std::string &session, const std::string &worker, const run_order &order)
 {
-    const auto refuse = [&](run_outcome outcome) { m_listener.endRun(session, {order.sequence, outcome, 0}); };
+    const auto refuse = [&](run_outcome outcome) { m_listener.endRun(session, order.sequence, outcome); };
     if (m_closed || !isReady() || m_worker->draining || m_worker->report.worker != worker) {
         refuse(run_outcome::closed);
         return;
     }
-    const bool isWaiting
-        = std::any_of(m_waiting.begin(), m_waiting.end(), [&order](const auto &entry) { return entry.second.order.task == order.task; });
-    if (isWaiting || m_runs.contains({order.task, order.number})) {
-        refuse(run_outcome::stale_number);
-        return;
-    }
-    const steady_time now = m_time.steadyNow();
-    m_waiting.emplace(now + microseconds(order.slackMicroseconds), waiting_order{session, order, now + LONGEST_WAIT});
-    startWaiting();
-    if (queuedMilliCores() > m_worker->report.capacity.milliCores / QUEUE_DIVISOR) {
-        // The least urgent order goes back to its entry.
-        const auto last = std::prev(m_waiting.end());
-        const waiting_order returned = last->second;
-        m_waiting.erase(last);
-        m_listener.endRun(returned.session, {returned.order.sequence, run_outcome::no_room, 0});
-    }
-}
-
-bool run_supervisor::fits(const task_shape &shape) const
-{
     task_shape used = usedRoom();
-    used.milliCores += shape.milliCores;
-    used.memoryMegabytes += shape.memoryMegabytes;
-    used.accelerators += shape.accelerators;
-    return used.fitsInto(m_worker->report.capacity);
-}
-
-std::uint32_t run_supervisor::queuedMilliCores() const
-{
-    std::uint32_t queued = 0;
-    for (const auto &[urgency, waiting] : m_waiting) {
-        queued += waiting.order.shape.milliCores;
-    }
-    return queued;
-}
-
-void run_supervisor::startWaiting()
-{
-    if (m_worker == nullptr || !isReady()) {
+    used.milliCores += order.shape.milliCores;
+    used.memoryMegabytes += order.shape.memoryMegabytes;
+    used.accelerators += order.shape.accelerators;
+    if (!used.fitsInto(m_worker->report.capacity)) {
+        refuse(run_outcome::no_room);
         return;
     }
-    std::size_t passedOver = 0;
-    for (auto next = m_waiting.begin(); next != m_waiting.end() && passedOver < MAX_PASSED_OVER;) {
-        if (!fits(next->second.order.shape)) {
-            ++passedOver;
-            ++next;
-            continue;
-        }
-        const waiting_order waiting = next->second;
-        next = m_waiting.erase(next);
-        sendStart(waiting.session, waiting.order);
-    }
-}
-
-void run_supervisor::sendStart(const std::string &session, const run_order &order)
-{
     const run_key key{order.task, order.number};
+    if (m_runs.contains(key)) {
+        refuse(run_outcome::stale_number);
+        return;
+    }
     supervised_run run;
     run.session = session;
     run.sequence = order.sequence;
     run.shape = order.shape;
-    run.startedAt = m_time.steadyNow();
     run.orderDeadline = clockNow() + m_rules.workerLease.count();
     m_worker->latestDeadline = std::max(m_worker->latestDeadline, run.orderDeadline);
     m_runs.emplace(key, run);
-    const std::string worker = m_worker->report.worker;
     m_port.startRun(context(), order, run.orderDeadline, [this, worker, key](order_reply reply, worker_milliseconds clock) {
         finishStart(worker, key, reply, clock);
     });
 }
 
-void run_supervisor::giveBack(const std::function<bool(const waiting_order &)> &isMeant, run_outcome outcome)
-{
-    std::vector<waiting_order> returned;
-    for (auto next = m_waiting.begin(); next != m_waiting.end();) {
-        if (isMeant(next->second)) {
-            returned.push_back(next->second);
-            next = m_waiting.erase(next);
-        } else {
-            ++next;
-        }
-    }
-    for (const waiting_order &each : returned) {
-        m_listener.endRun(each.session, {each.order.sequence, outcome, 0});
-    }
-}
-
 void run_supervisor::stop(const std::string &session, std::uint64_t sequence)
 {
-    giveBack([&](const waiting_order &each) { return each.session == session && each.order.sequence == sequence; }, run_outcome::closed);
     for (auto &[key, run] : m_runs) {
         if (run.session == session && run.sequence == sequence) {
             endEarly(key, run);
@@ -233,7 +162,6 @@
 
 void run_supervisor::stopAll(const std::string &session)
 {
-    giveBack([&](const waiting_order &each) { return each.session == session; }, run_outcome::closed);
     for (auto &[key, run] : m_runs) {
         if (run.session == session) {
             endEarly(key, run);
@@ -244,7 +172,6 @@
 void run_supervisor::close()
 {
     m_closed = true;
-    giveBack([](const waiting_order &) { return true; }, run_outcome::closed);
     m_listener.changeWorker();
 }
 
@@ -255,8 +182,6 @@
     }
     checkLapse();
     const steady_time now = m_time.steadyNow();
-    giveBack([now](const waiting_order &each) { return now >= each.waitEnd; }, run_outcome::no_room);
-    startWaiting();
     for (auto &[key, run] : m_runs) {
         if (run.state == run_state::stopping && now >= run.nextStop) {
             sendStop(key, run);
@@ -285,7 +210,6 @@
     result.labels = m_worker->report.labels;
     result.capacity = m_worker->report.capacity;
     const task_shape used = usedRoom();
-    result.queuedMilliCores = queuedMilliCores();
     result.free.milliCores = result.capacity.milliCores - std::min(result.capacity.milliCores, used.milliCores);
     result.free.memoryMegabytes = result.capacity.memoryMegabytes - std::min(result.capacity.memoryMegabytes, used.memoryMegabytes);
     result.free.accelerators = result.capacity.accelerators - std::min(result.capacity.accelerators, used.accelerators);
@@ -297,7 +221,7 @@
     std::vector<run_progress> result;
     for (const auto &[key, run] : m_runs) {
         if (run.session == session && run.state == run_state::running) {
-            result.push_back({run.sequence, run.percent, (m_time.steadyNow() - run.startedAt).count()});
+            result.push_back({run.sequence, run.percent});
         }
     }
     return result;
@@ -305,7 +229,7 @@
 
 std::size_t run_supervisor::size() const
 {
-    return m_runs.size() + m_waiting.size();
+    return m_runs.size();
 }
 
 bool run_supervisor::isReady() const
@@ -350,7 +274,6 @@
     while (!m_runs.empty()) {
         end(m_runs.begin(), outcome);
     }
-    giveBack([](const waiting_order &) { return true; }, run_outcome::closed);
     m_listener.changeWorker();
 }
 
@@ -471,7 +394,6 @@
         compareActive(number, reply);
         stopForeign(reply.active);
     }
-    startWaiting();
     if (!m_worker->isHeld) {
         m_worker->isHeld = true;
         m_journal.note("worker_held", {{"worker", worker}});
@@ -562,7 +484,6 @@
     while (!m_runs.empty()) {
         end(m_runs.begin(), run_outcome::lapsed);
     }
-    giveBack([](const waiting_order &) { return true; }, run_outcome::closed);
     m_listener.changeWorker();
 }
 
@@ -586,9 +507,9 @@
 void run_supervisor::end(run_map::iterator run, run_outcome outcome)
 {
     const std::string session = run->second.session;
-    const run_result result{run->second.sequence, outcome, (m_time.steadyNow() - run->second.startedAt).count()};
+    const std::uint64_t sequence = run->second.sequence;
     m_runs.erase(run);
-    m_listener.endRun(session, result);
+    m_listener.endRun(session, sequence, outcome);
 }
 
 order_context run_supervisor::context() const
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -2,7 +2,6 @@
 #define AZUREMOOR_RUNS_RUN_SUPERVISOR_H
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -37,7 +36,7 @@
     virtual ~supervisor_listener() = default;
 
     /// A run ended, or never began and cannot begin any more.
-    virtual void endRun(const std::string &session, const run_result &result) = 0;
+    virtual void endRun(const std::string &session, std::uint64_t sequence, run_outcome outcome) = 0;
 
     /// Room, readiness or the worker itself changed.
     virtual void changeWorker() = 0;
@@ -62,8 +61,7 @@
     /// The worker said that this life of it ends now.
     void takeLeave(const std::string &worker);
 
-    /// Orders a run for a session. An order for which there is no room waits, the most urgent first, as long as few others do; one that
-    /// cannot begin is ended at once.
+    /// Orders a run for a session, or ends it at once when it cannot begin.
     void start(const std::string &session, const std::string &worker, const run_order &order);
 
     /// Ends a run of a session early.
@@ -84,7 +82,7 @@
     /// Returns the progress of a session's runs.
     std::vector<run_progress> progress(const std::string &session) const;
 
-    /// Returns the number of runs that wait or may be under way.
+    /// Returns the number of runs that may be under way.
     std::size_t size() const;
 
     /// Returns whether the worker is known and holds its lease.
@@ -107,27 +105,14 @@
         bool isStopConfirmed = false;
         /// Number of the first renewal whose list is certain to show the run if it is under way.
         std::uint64_t settledBy = 0;
-        steady_time startedAt;
         steady_time nextStop;
         /// When the lease is no longer renewed unless the run has ended; only for runs that somebody ended early.
         std::optional<steady_time> endBy;
         std::uint8_t percent = 0;
     };
-    /// An order that waits for room.
-    struct waiting_order {
-        std::string session;
-        run_order order;
-        /// When it is given back, so that its entry can place it elsewhere.
-        steady_time waitEnd;
-    };
     struct known_worker;
     using run_map = std::map<run_key, supervised_run>;
 
-    bool fits(const task_shape &shape) const;
-    std::uint32_t queuedMilliCores() const;
-    void sendStart(const std::string &session, const run_order &order);
-    void startWaiting();
-    void giveBack(const std::function<bool(const waiting_order &)> &isMeant, run_outcome outcome);
     void adopt(const worker_report &report);
     void loseWorker(run_outcome outcome, const std::string &reason);
     void finishStart(const std::string &worker, const run_key &key, order_reply reply, worker_milliseconds clock);
@@ -156,8 +141,6 @@
     std::unique_ptr<known_worker> m_worker;
     std::set<std::string> m_formerWorkers;
     run_map m_runs;
-    /// By the time at which the run has to begin to be in time.
-    std::multimap<steady_time, waiting_order> m_waiting;
     bool m_closed = false;
 };
 
--- a/src/runs/tests/run_supervisor_test.cpp
+++ b/src/runs/tests/run_supervisor_test.cpp
@@ -24,9 +24,9 @@
         run(milliseconds(100));
     }
 
-    void endRun(const std::string &session, const run_result &result) override
+    void endRun(const std::string &session, std::uint64_t sequence, run_outcome outcome) override
     {
-        results[{session, result.sequence}] = result.outcome;
+        results[{session, sequence}] = outcome;
         if (!worker.active().empty()) {
             runningAtResult = *worker.active().begin();
         }
