Split parked submissions, placements, delivery notices and replies from the job owner; one name for one type

Cause: job_owner.cpp held four jobs that need none of its state; two types were called worker_view, which programs that link both would have taken for one.

Change: four small modules of src/jobs; the entry's view of a worker on the users' platform is pooled_worker.

--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -362,7 +362,7 @@
             continue;
         }
         const step_spec &step = job.stepOf(index);
-        worker_view *worker = m_placement.choose(m_pool, {&step, job.rule.service, task.avoidedAgent, agentsAtLimit(job, task.step)});
+        pooled_worker *worker = m_placement.choose(m_pool, {&step, job.rule.service, task.avoidedAgent, agentsAtLimit(job, task.step)});
         if (worker == nullptr) {
             isPlaced = false;
             continue;
@@ -417,7 +417,7 @@
     }
 }
 
-void job_dispatcher::moveRun(worker_view &worker, std::uint64_t sequence, run_health health)
+void job_dispatcher::moveRun(pooled_worker &worker, std::uint64_t sequence, run_health health)
 {
     const task_reference reference = worker.runs.at(sequence).task;
     active_job &job = m_jobs.at(reference.job);
--- a/src/dispatch/job_dispatcher.h
+++ b/src/dispatch/job_dispatcher.h
@@ -142,7 +142,7 @@
     bool placeTasks(active_job &job);
     std::set<std::string> agentsAtLimit(const active_job &job, std::uint32_t step) const;
     void moveStragglers();
-    void moveRun(worker_view &worker, std::uint64_t sequence, run_health health);
+    void moveRun(pooled_worker &worker, std::uint64_t sequence, run_health health);
     void confirm(active_job &job);
     void finish(active_job &job, const job_answer &answer);
     void forgetIfOver(active_job &job);
--- a/src/dispatch/placement_policy.cpp
+++ b/src/dispatch/placement_policy.cpp
@@ -20,13 +20,13 @@
 /// Spreads tasks of several entries over workers that are about equally good.
 constexpr double TIE_SPREAD = 0.08;
 
-bool hasLabel(const worker_view &worker, const std::string &label)
+bool hasLabel(const pooled_worker &worker, const std::string &label)
 {
     const auto &labels = worker.status.labels;
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-bool isEligible(const worker_view &worker, const placement_request &request)
+bool isEligible(const pooled_worker &worker, const placement_request &request)
 {
     return worker.status.service == request.service && hasLabel(worker, request.step->requiredLabel);
 }
@@ -41,9 +41,9 @@
 {
 }
 
-worker_view *earliest_done_placement::choose(worker_pool &pool, const placement_request &request)
+pooled_worker *earliest_done_placement::choose(worker_pool &pool, const placement_request &request)
 {
-    worker_view *best = nullptr;
+    pooled_worker *best = nullptr;
     double bestExpected = std::numeric_limits<double>::max();
     for (auto &[agent, worker] : pool.workers()) {
         if (!pool.isUsable(worker) || !isEligible(worker, request) || request.excludedAgents.contains(agent)
@@ -70,7 +70,7 @@
     });
 }
 
-double earliest_done_placement::expectedMicroseconds(const worker_view &worker, const step_spec &step)
+double earliest_done_placement::expectedMicroseconds(const pooled_worker &worker, const step_spec &step)
 {
     const bool isNear = hasLabel(worker, step.nearRack);
     double expected = static_cast<double>(step.estimate.count()) * worker.performance.slowness() * (isNear ? 1.0 : m_remoteFactor);
--- a/src/dispatch/placement_policy.h
+++ b/src/dispatch/placement_policy.h
@@ -28,7 +28,7 @@
     virtual ~placement_policy() = default;
 
     /// Returns the worker for the task, or null when none has room now.
-    virtual worker_view *choose(worker_pool &pool, const placement_request &request) = 0;
+    virtual pooled_worker *choose(worker_pool &pool, const placement_request &request) = 0;
 
     /// Returns whether some worker could run the task if it were idle.
     virtual bool couldRun(const worker_pool &pool, const placement_request &request) const = 0;
@@ -45,11 +45,11 @@
     /// Takes the data centre of this entry, the factor by which work away from its data takes longer, and a seed for ties.
     earliest_done_placement(const time_source &time, std::string dataCentre, double remoteFactor, std::uint64_t seed);
 
-    worker_view *choose(worker_pool &pool, const placement_request &request) override;
+    pooled_worker *choose(worker_pool &pool, const placement_request &request) override;
     bool couldRun(const worker_pool &pool, const placement_request &request) const override;
 
 private:
-    double expectedMicroseconds(const worker_view &worker, const step_spec &step);
+    double expectedMicroseconds(const pooled_worker &worker, const step_spec &step);
 
     const time_source &m_time;
     std::string m_dataCentre;
--- a/src/dispatch/straggler_policy.cpp
+++ b/src/dispatch/straggler_policy.cpp
@@ -30,8 +30,8 @@
     return NAMES[static_cast<std::size_t>(health)];
 }
 
-run_health progress_straggler_policy::judge(const worker_view &worker,
-                                            const worker_view::outstanding_run &run,
+run_health progress_straggler_policy::judge(const pooled_worker &worker,
+                                            const pooled_worker::outstanding_run &run,
                                             double usualSlowness,
                                             steady_time now) const
 {
--- a/src/dispatch/straggler_policy.h
+++ b/src/dispatch/straggler_policy.h
@@ -26,7 +26,7 @@
 
     /// Judges a run on a worker. The slowness is the usual one of all workers.
     virtual run_health
-    judge(const worker_view &worker, const worker_view::outstanding_run &run, double usualSlowness, steady_time now) const = 0;
+    judge(const pooled_worker &worker, const pooled_worker::outstanding_run &run, double usualSlowness, steady_time now) const = 0;
 };
 
 /// Judges by the progress that workers report.
@@ -34,7 +34,7 @@
 {
 public:
     run_health
-    judge(const worker_view &worker, const worker_view::outstanding_run &run, double usualSlowness, steady_time now) const override;
+    judge(const pooled_worker &worker, const pooled_worker::outstanding_run &run, double usualSlowness, steady_time now) const override;
 };
 
 /// Returns the median slowness of the usable workers, or 1 when there is none.
--- a/src/dispatch/worker_pool.cpp
+++ b/src/dispatch/worker_pool.cpp
@@ -22,7 +22,7 @@
 
 }
 
-task_shape worker_view::freeRoom() const
+task_shape pooled_worker::freeRoom() const
 {
     task_shape free = status.free;
     for (auto run = runs.upper_bound(status.appliedOrder); run != runs.end(); ++run) {
@@ -48,7 +48,7 @@
 
 void worker_pool::connectAgent(const hello &agent)
 {
-    worker_view &worker = m_workers[agent.name];
+    pooled_worker &worker = m_workers[agent.name];
     if (worker.incarnation != agent.incarnation) {
         orphanRuns(worker);
     }
@@ -86,7 +86,7 @@
     if (found == m_workers.end()) {
         return;
     }
-    worker_view &worker = found->second;
+    pooled_worker &worker = found->second;
     if (worker.awaitingStatus) {
         worker.awaitingStatus = false;
         dropUnknownOrders(worker, status.appliedOrder);
@@ -118,7 +118,7 @@
     if (found == m_workers.end()) {
         return;
     }
-    worker_view &worker = found->second;
+    pooled_worker &worker = found->second;
     std::uint64_t number = results.firstNumber;
     for (const run_result &result : results.results) {
         if (number > worker.lastResult) {
@@ -130,7 +130,7 @@
     m_outbox.send(agent, run_results_received{worker.lastResult});
 }
 
-void worker_pool::order(worker_view &worker, const task_reference &task, run_order order, microseconds estimate)
+void worker_pool::order(pooled_worker &worker, const task_reference &task, run_order order, microseconds estimate)
 {
     order.sequence = ++worker.lastOrder;
     worker.runs[order.sequence] = {task, order.shape, estimate, m_time.steadyNow(), false, std::nullopt, {}, false};
@@ -150,7 +150,7 @@
     }
 }
 
-void worker_pool::stopRun(worker_view &worker, std::uint64_t sequence)
+void worker_pool::stopRun(pooled_worker &worker, std::uint64_t sequence)
 {
     worker.runs.at(sequence).stopping = true;
     m_stops[worker.agent].sequences.push_back(sequence);
@@ -180,34 +180,34 @@
         }
     }
     std::erase_if(m_workers, [now](const auto &entry) {
-        const worker_view &worker = entry.second;
+        const pooled_worker &worker = entry.second;
         return !worker.connected && worker.runs.empty() && worker.orphans.empty() && now >= worker.lastAnswered + FORGET_AFTER;
     });
 }
 
-bool worker_pool::isUsable(const worker_view &worker) const
+bool worker_pool::isUsable(const pooled_worker &worker) const
 {
     return worker.connected && !worker.awaitingStatus && worker.status.ready && !worker.status.draining
         && m_time.steadyNow() < worker.lastAnswered + m_rules.suspicion;
 }
 
-std::map<std::string, worker_view> &worker_pool::workers()
+std::map<std::string, pooled_worker> &worker_pool::workers()
 {
     return m_workers;
 }
 
-const std::map<std::string, worker_view> &worker_pool::workers() const
+const std::map<std::string, pooled_worker> &worker_pool::workers() const
 {
     return m_workers;
 }
 
-void worker_pool::updateProgress(worker_view &worker, const run_progress &progress)
+void worker_pool::updateProgress(pooled_worker &worker, const run_progress &progress)
 {
     const auto found = worker.runs.find(progress.sequence);
     if (found == worker.runs.end()) {
         return;
     }
-    worker_view::outstanding_run &run = found->second;
+    pooled_worker::outstanding_run &run = found->second;
     const steady_time now = m_time.steadyNow();
     if (!run.percent || progress.percent > *run.percent) {
         run.percent = progress.percent;
@@ -220,7 +220,7 @@
     }
 }
 
-void worker_pool::orphanRuns(worker_view &worker)
+void worker_pool::orphanRuns(pooled_worker &worker)
 {
     for (const auto &[sequence, run] : worker.runs) {
         worker.orphans.push_back(run);
@@ -234,20 +234,20 @@
     worker.status = {};
 }
 
-void worker_pool::endOrphans(worker_view &worker, const std::string &reason)
+void worker_pool::endOrphans(pooled_worker &worker, const std::string &reason)
 {
     if (worker.orphans.empty()) {
         return;
     }
     m_journal.note("runs_presumed_ended", {{"agent", worker.agent}, {"reason", reason}, {"runs", std::to_string(worker.orphans.size())}});
-    const std::vector<worker_view::outstanding_run> orphans = std::move(worker.orphans);
+    const std::vector<pooled_worker::outstanding_run> orphans = std::move(worker.orphans);
     worker.orphans.clear();
-    for (const worker_view::outstanding_run &run : orphans) {
+    for (const pooled_worker::outstanding_run &run : orphans) {
         m_listener->endRun(run.task, run_outcome::lapsed, worker.agent);
     }
 }
 
-void worker_pool::endSilentRuns(worker_view &worker)
+void worker_pool::endSilentRuns(pooled_worker &worker)
 {
     m_journal.note("runs_presumed_ended",
                    {{"agent", worker.agent}, {"reason", "agent silent"}, {"runs", std::to_string(worker.runs.size())}});
@@ -256,13 +256,13 @@
     }
 }
 
-void worker_pool::endRun(worker_view &worker, std::uint64_t sequence, run_outcome outcome)
+void worker_pool::endRun(pooled_worker &worker, std::uint64_t sequence, run_outcome outcome)
 {
     const auto found = worker.runs.find(sequence);
     if (found == worker.runs.end()) {
         return;
     }
-    const worker_view::outstanding_run run = found->second;
+    const pooled_worker::outstanding_run run = found->second;
     worker.runs.erase(found);
     const steady_time now = m_time.steadyNow();
     if (outcome == run_outcome::done) {
@@ -273,7 +273,7 @@
     m_listener->endRun(run.task, outcome, worker.agent);
 }
 
-void worker_pool::dropUnknownOrders(worker_view &worker, std::uint64_t appliedOrder)
+void worker_pool::dropUnknownOrders(pooled_worker &worker, std::uint64_t appliedOrder)
 {
     while (!worker.runs.empty() && worker.runs.rbegin()->first > appliedOrder) {
         endRun(worker, worker.runs.rbegin()->first, run_outcome::closed);
--- a/src/dispatch/worker_pool.h
+++ b/src/dispatch/worker_pool.h
@@ -34,7 +34,7 @@
 };
 
 /// One worker as an entry sees it, through the agent beside it.
-struct worker_view {
+struct pooled_worker {
     /// A run that was ordered and has no result yet.
     struct outstanding_run {
         task_reference task;
@@ -110,13 +110,13 @@
     void receiveResults(const std::string &agent, const run_results &results);
 
     /// Orders a run from the agent. The order leaves with the next flush.
-    void order(worker_view &worker, const task_reference &task, run_order order, microseconds estimate);
+    void order(pooled_worker &worker, const task_reference &task, run_order order, microseconds estimate);
 
     /// Asks for an early end of the runs of a job's tasks. Their results still come.
     void stopRuns(std::uint64_t job);
 
     /// Asks for an early end of one run that stands still.
-    void stopRun(worker_view &worker, std::uint64_t sequence);
+    void stopRun(pooled_worker &worker, std::uint64_t sequence);
 
     /// Sends the orders that have been collected.
     void flush();
@@ -125,26 +125,26 @@
     void tick();
 
     /// Returns whether the worker may get new runs.
-    bool isUsable(const worker_view &worker) const;
+    bool isUsable(const pooled_worker &worker) const;
 
     /// Returns all workers, by agent.
-    std::map<std::string, worker_view> &workers();
-    const std::map<std::string, worker_view> &workers() const;
+    std::map<std::string, pooled_worker> &workers();
+    const std::map<std::string, pooled_worker> &workers() const;
 
 private:
-    void updateProgress(worker_view &worker, const run_progress &progress);
-    void orphanRuns(worker_view &worker);
-    void endOrphans(worker_view &worker, const std::string &reason);
-    void endSilentRuns(worker_view &worker);
-    void endRun(worker_view &worker, std::uint64_t sequence, run_outcome outcome);
-    void dropUnknownOrders(worker_view &worker, std::uint64_t appliedOrder);
+    void updateProgress(pooled_worker &worker, const run_progress &progress);
+    void orphanRuns(pooled_worker &worker);
+    void endOrphans(pooled_worker &worker, const std::string &reason);
+    void endSilentRuns(pooled_worker &worker);
+    void endRun(pooled_worker &worker, std::uint64_t sequence, run_outcome outcome);
+    void dropUnknownOrders(pooled_worker &worker, std::uint64_t appliedOrder);
 
     const time_source &m_time;
     silence_rules m_rules;
     peer_outbox &m_outbox;
     decision_journal &m_journal;
     run_listener *m_listener = nullptr;
-    std::map<std::string, worker_view> m_workers;
+    std::map<std::string, pooled_worker> m_workers;
     std::map<std::string, start_runs> m_orders;
     std::map<std::string, stop_runs> m_stops;
 };
--- /dev/null
+++ b/src/jobs/delivery_notices.cpp
@@ -0,0 +1,39 @@
+#include "jobs/delivery_notices.h"
+
+namespace azuremoor
+{
+
+namespace
+{
+
+/// Interval at which agents are told of delivered answers.
+constexpr milliseconds SEND_INTERVAL{1000};
+
+}
+
+delivery_notices::delivery_notices(const time_source &time, peer_outbox &outbox)
+    : m_time(time)
+    , m_outbox(outbox)
+{
+}
+
+void delivery_notices::add(const std::string &agent, const submission_key &submission)
+{
+    m_delivered[agent].push_back(submission);
+}
+
+void delivery_notices::tick()
+{
+    if (m_time.steadyNow() < m_nextSend) {
+        return;
+    }
+    m_nextSend = m_time.steadyNow() + SEND_INTERVAL;
+    for (auto &[agent, submissions] : m_delivered) {
+        if (submissions.size() <= MAX_LIST_LENGTH) {
+            m_outbox.send(agent, results_delivered{std::move(submissions)});
+        }
+    }
+    m_delivered.clear();
+}
+
+}
--- a/src/jobs/job_owner.cpp
+++ b/src/jobs/job_owner.cpp
@@ -17,13 +17,6 @@
 /// Time after which another agent is asked to remember a closed submission.
 constexpr milliseconds CLOSURE_TIMEOUT{200};
 
-/// Interval at which agents are told of delivered answers.
-constexpr milliseconds DELIVERY_INTERVAL{1000};
-
-/// Submissions that wait for a shard to be recovered, in number and time.
-constexpr std::size_t MAX_PARKED = 20'000;
-constexpr seconds PARKING_TIME{10};
-
 /// Shards that change their owner at the same time.
 constexpr std::size_t MAX_OUTGOING_TABLES = 16;
 
@@ -50,6 +43,8 @@
     , m_transfer(m_time, m_outbox)
     , m_rules(m_time, m_settings.bounds, environment.stream.state(), m_placer, m_runtimes)
     , m_jobs(m_time, m_settings.bounds.window)
+    , m_parked(m_time)
+    , m_delivered(m_time, m_outbox)
 {
 }
 
@@ -82,7 +77,7 @@
     m_evidence.tick();
     tickAgents();
     tickDue();
-    tickDeliveries();
+    m_delivered.tick();
     tickExpiry();
     m_placementDue = true;
     flush();
@@ -311,16 +306,16 @@
         return;
     }
     if (m_settings.rules.requireFreshness && !m_environment.guard.isFresh()) {
-        replyRefusal(from, request, STATUS_UNAVAILABLE, RETRY_SOON, "this entry hears neither the log nor enough of the other entries");
+        replyRefusal(from, request, {STATUS_UNAVAILABLE, RETRY_SOON, "this entry hears neither the log nor enough of the other entries"});
         return;
     }
     const std::string lifetime = m_rules.lifetimeError(request);
     if (!lifetime.empty()) {
-        replyRefusal(from, request, STATUS_GONE, milliseconds(0), lifetime);
+        replyRefusal(from, request, {STATUS_GONE, milliseconds(0), lifetime});
         return;
     }
     if (m_jobs.size() >= m_settings.maxJobs) {
-        replyRefusal(from, request, STATUS_UNAVAILABLE, RETRY_LATER, "the table of jobs is full");
+        replyRefusal(from, request, {STATUS_UNAVAILABLE, RETRY_LATER, "the table of jobs is full"});
         return;
     }
     create(from, request);
@@ -331,11 +326,11 @@
     ++m_counters.attached;
     if (request.attempt == job.request.attempt && job.digest != digestOf(request)) {
         replyRefusal(
-            from, request, STATUS_CONFLICT, milliseconds(0), "another job was submitted under this identifier; choose a new identifier");
+            from, request, {STATUS_CONFLICT, milliseconds(0), "another job was submitted under this identifier; choose a new identifier"});
         return;
     }
     if (request.attempt < job.request.attempt) {
-        replyRefusal(from, request, STATUS_CONFLICT, milliseconds(0), "a later attempt was submitted under this identifier");
+        replyRefusal(from, request, {STATUS_CONFLICT, milliseconds(0), "a later attempt was submitted under this identifier"});
         return;
     }
     if (job.stage == job_stage::closed) {
@@ -437,7 +432,7 @@
     task.agentIncarnation = entry.agentIncarnation;
     task.confirmedRunning = true;
     task.placedAt = m_time.steadyNow();
-    m_placed[entry.agent].emplace(job.request.id, index);
+    m_placed.add(entry.agent, {job.request.id, index});
     m_placer.noteRunning(job.request.team);
 }
 
@@ -494,45 +489,23 @@
     settle(job, std::min(m_time.unixNow() + REFUSAL_TIME, job.settleBy), true, reason);
 }
 
-void job_owner::replyRefusal(
-    const waiting_request &to, const job_request &request, std::uint32_t status, milliseconds retryAfter, const std::string &reason)
+void job_owner::replyRefusal(const waiting_request &to, const job_request &request, const refusal_reason &reason)
 {
     ++m_counters.refused;
-    job_reply reply;
-    reply.requestId = to.requestId;
-    reply.jobId = request.id;
-    reply.attempt = request.attempt;
-    reply.kind = reply_kind::refused;
-    reply.refusal = verdict::may_have_run;
-    reply.status = status;
-    reply.retryAfterMilliseconds = static_cast<std::uint32_t>(retryAfter.count());
-    reply.reason = reason;
-    m_outbox.send(to.entry, std::move(reply));
+    m_outbox.send(to.entry, refusalReply(to, request, reason));
 }
 
 void job_owner::park(const std::string &entry, const forwarded_submission &submission)
 {
-    if (m_parkedCount >= MAX_PARKED) {
-        replyRefusal({entry, submission.requestId}, submission.job, STATUS_UNAVAILABLE, RETRY_LATER, "its owner is being replaced");
-        return;
+    if (!m_parked.park(shardOf(submission.job.id), entry, submission)) {
+        replyRefusal({entry, submission.requestId}, submission.job, {STATUS_UNAVAILABLE, RETRY_LATER, "its owner is being replaced"});
     }
-    ++m_parkedCount;
-    m_parked[shardOf(submission.job.id)].push_back({entry, submission, m_time.steadyNow() + PARKING_TIME});
 }
 
 void job_owner::admitParked(std::uint32_t shard)
 {
-    const auto found = m_parked.find(shard);
-    if (found == m_parked.end()) {
-        return;
-    }
-    std::deque<parked_submission> parked = std::move(found->second);
-    m_parked.erase(found);
-    m_parkedCount -= parked.size();
-    for (const parked_submission &waiting : parked) {
-        if (m_time.steadyNow() < waiting.deadline) {
-            admit({waiting.entry, waiting.submission.requestId}, waiting.submission.job);
-        }
+    for (const parked_submission &waiting : m_parked.take(shard)) {
+        admit({waiting.entry, waiting.submission.requestId}, waiting.submission.job);
     }
 }
 
@@ -548,7 +521,7 @@
     task.confirmedRunning = false;
     task.placedAt = m_time.steadyNow();
     ++task.number;
-    m_placed[worker.name].emplace(job.request.id, waiting.index);
+    m_placed.add(worker.name, {job.request.id, waiting.index});
     m_placer.noteRunning(job.request.team);
     return {keyOf(job), job.request.deadlineMilliseconds, {waiting.index, task.number, job.request.tasks[waiting.index]}};
 }
@@ -607,21 +580,13 @@
 
 void job_owner::leaveAgent(owned_job &job, std::uint32_t index)
 {
-    const auto placed = m_placed.find(job.tasks[index].agent);
-    if (placed != m_placed.end()) {
-        placed->second.erase({job.request.id, index});
-    }
+    m_placed.remove(job.tasks[index].agent, {job.request.id, index});
     m_placer.noteEnded(job.request.team);
 }
 
 void job_owner::giveUpPlacements(const std::string &agent, const std::string &reason)
 {
-    const auto found = m_placed.find(agent);
-    if (found == m_placed.end()) {
-        return;
-    }
-    const std::set<std::pair<std::string, std::uint32_t>> placed = std::move(found->second);
-    m_placed.erase(found);
+    const std::set<placed_task> placed = m_placed.take(agent);
     if (!placed.empty()) {
         m_environment.journal.note("placements_given_up", {{"agent", agent}, {"count", std::to_string(placed.size())}, {"reason", reason}});
     }
@@ -636,7 +601,7 @@
 
 void job_owner::applyLedger(const collected_ledger &ledger)
 {
-    std::set<std::pair<std::string, std::uint32_t>> seen;
+    std::set<placed_task> seen;
     for (const ledger_entry &entry : ledger.entries) {
         owned_job *job = m_jobs.find(entry.jobId);
         if (job == nullptr) {
@@ -647,7 +612,7 @@
         }
         const bool known = entry.state != ledger_state::closed && job->request.attempt == entry.attempt && entry.index < job->tasks.size();
         if (known && job->stage != job_stage::closed) {
-            seen.emplace(entry.jobId, entry.index);
+            seen.insert({entry.jobId, entry.index});
             applyLedgerEntry(*job, entry);
         }
     }
@@ -673,13 +638,9 @@
     task.confirmedRunning = true;
 }
 
-void job_owner::takeBackMissing(const collected_ledger &ledger, const std::set<std::pair<std::string, std::uint32_t>> &seen)
+void job_owner::takeBackMissing(const collected_ledger &ledger, const std::set<placed_task> &seen)
 {
-    const auto placed = m_placed.find(ledger.agent);
-    if (placed == m_placed.end()) {
-        return;
-    }
-    for (const auto &[jobId, index] : placed->second) {
+    for (const auto &[jobId, index] : m_placed.at(ledger.agent)) {
         const owned_job *job = find(jobId);
         if (job == nullptr) {
             continue;
@@ -856,7 +817,7 @@
         task.outcome.answer.clear();
     }
     for (const std::string &agent : agents) {
-        m_delivered[agent].push_back(keyOf(job));
+        m_delivered.add(agent, keyOf(job));
     }
     for (task_request &task : job.request.tasks) {
         task.payload.clear();
@@ -868,34 +829,12 @@
     if (complete || job.reply.kind == reply_kind::refused) {
         return;
     }
-    const auto first = std::find_if(job.tasks.begin(), job.tasks.end(), [](const owned_task &task) { return !task.outcome.isAnswered(); });
-    const auto index = static_cast<std::size_t>(first - job.tasks.begin());
-    m_environment.journal.note("job_failed",
-                               {{"job", job.request.id},
-                                {"shard", std::to_string(job.shard)},
-                                {"epoch", std::to_string(m_custody.epoch(job.shard))},
-                                {"task", job.request.tasks[index].name},
-                                {"verdict", std::string(verdictName(first->outcome.outcome))},
-                                {"agent", first->agent},
-                                {"reason", first->outcome.error}});
+    m_environment.journal.note("job_failed", failureFields(job, m_custody.epoch(job.shard)));
 }
 
 void job_owner::sendReply(const waiting_request &to, const owned_job &job) const
 {
-    job_reply reply;
-    if (job.stage == job_stage::closed) {
-        reply = job.reply;
-    } else {
-        reply.jobId = job.request.id;
-        reply.attempt = job.request.attempt;
-        reply.kind = reply_kind::pending;
-        reply.endedTasks = static_cast<std::uint32_t>(job.tasks.size()) - job.unended;
-        for (const task_request &task : job.request.tasks) {
-            reply.taskNames.push_back(task.name);
-        }
-    }
-    reply.requestId = to.requestId;
-    m_outbox.send(to.entry, std::move(reply));
+    m_outbox.send(to.entry, replyAbout(to, job));
 }
 
 // Custody
@@ -982,7 +921,7 @@
             task.stage = task_stage::placed;
             // Placed before this owner's first question to the agent, whose answer settles what became of it.
             task.placedAt = m_time.steadyNow() - milliseconds(1);
-            m_placed[task.agent].emplace(job.request.id, index);
+            m_placed.add(task.agent, {job.request.id, index});
             m_placer.noteRunning(job.request.team);
         } else {
             enqueue(job, index);
@@ -1104,20 +1043,6 @@
     }
 }
 
-void job_owner::tickDeliveries()
-{
-    if (m_time.steadyNow() < m_nextDelivery) {
-        return;
-    }
-    m_nextDelivery = m_time.steadyNow() + DELIVERY_INTERVAL;
-    for (auto &[agent, submissions] : m_delivered) {
-        if (submissions.size() <= MAX_LIST_LENGTH) {
-            m_outbox.send(agent, results_delivered{std::move(submissions)});
-        }
-    }
-    m_delivered.clear();
-}
-
 void job_owner::tickExpiry()
 {
     m_jobs.expire();
--- a/src/jobs/job_owner.h
+++ b/src/jobs/job_owner.h
@@ -1,7 +1,6 @@
 #ifndef AZUREMOOR_JOBS_JOB_OWNER_H
 #define AZUREMOOR_JOBS_JOB_OWNER_H
 
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -11,11 +10,15 @@
 #include "base/protocol_rules.h"
 #include "fleet/peer_outbox.h"
 #include "jobs/admission_rules.h"
+#include "jobs/delivery_notices.h"
 #include "jobs/evidence_collector.h"
+#include "jobs/job_replies.h"
 #include "jobs/job_table.h"
+#include "jobs/parked_submissions.h"
 #include "jobs/runtime_estimator.h"
 #include "jobs/shard_custody.h"
 #include "jobs/table_transfer.h"
+#include "jobs/task_placements.h"
 #include "jobs/task_placer.h"
 
 namespace azuremoor
@@ -123,12 +126,6 @@
     std::vector<std::string> explain(const owned_job &job);
 
 private:
-    struct parked_submission {
-        std::string entry;
-        forwarded_submission submission;
-        steady_time deadline;
-    };
-
     void handleMessage(const std::string &peer, const forwarded_submission &value);
     void handleMessage(const std::string &peer, const forwarded_query &value);
     void handleMessage(const std::string &peer, const upstream_status &value);
@@ -156,8 +153,7 @@
     void adoptRunning(owned_job &job, std::uint32_t index, const ledger_entry &entry);
     bool refuseIfHopeless(owned_job &job);
     void refuse(owned_job &job, std::uint32_t status, milliseconds retryAfter, const std::string &reason);
-    void replyRefusal(
-        const waiting_request &to, const job_request &request, std::uint32_t status, milliseconds retryAfter, const std::string &reason);
+    void replyRefusal(const waiting_request &to, const job_request &request, const refusal_reason &reason);
     void park(const std::string &entry, const forwarded_submission &submission);
     void admitParked(std::uint32_t shard);
 
@@ -171,7 +167,7 @@
     void giveUpPlacements(const std::string &agent, const std::string &reason);
     void applyLedger(const collected_ledger &ledger);
     void applyLedgerEntry(owned_job &job, const ledger_entry &entry);
-    void takeBackMissing(const collected_ledger &ledger, const std::set<std::pair<std::string, std::uint32_t>> &seen);
+    void takeBackMissing(const collected_ledger &ledger, const std::set<placed_task> &seen);
 
     // Replies
     void advance(owned_job &job);
@@ -198,7 +194,6 @@
     // Clock
     void tickDue();
     void tickAgents();
-    void tickDeliveries();
     void tickExpiry();
     void tickConfiguration();
 
@@ -216,12 +211,9 @@
     runtime_estimator m_runtimes;
     admission_rules m_rules;
     job_table m_jobs;
-    /// Placed tasks by agent, as pairs of job and task.
-    std::map<std::string, std::set<std::pair<std::string, std::uint32_t>>> m_placed;
-    std::map<std::uint32_t, std::deque<parked_submission>> m_parked;
-    std::size_t m_parkedCount = 0;
-    std::map<std::string, std::vector<submission_key>> m_delivered;
-    steady_time m_nextDelivery;
+    task_placements m_placed;
+    parked_submissions m_parked;
+    delivery_notices m_delivered;
     std::uint64_t m_configurationVersion = 0;
     std::array<std::uint64_t, SHARD_COUNT> m_installedEpochs{};
     std::uint64_t m_sequence = 0;
