Workers that are slow or fail what they start get a task now and then only

Change: a worker that is 2.5 times slower than the median, or fails more than half while the others do not, is in quarantine: one task each 400 ms, nothing else while another sound worker could run the task, also if that one is full now. The same for the worker where the task ended without success.

Ruled out: a penalty on the expected time, which only orders the workers that have room.

--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -403,7 +403,7 @@
 void job_dispatcher::moveStragglers()
 {
     const steady_time now = m_time.steadyNow();
-    const double usual = usualSlowness(m_pool);
+    const double usual = usualOf(m_pool, now).slowness;
     for (auto &[agent, worker] : m_pool.workers()) {
         if (!m_pool.isUsable(worker)) {
             continue;
--- a/src/dispatch/placement_policy.cpp
+++ b/src/dispatch/placement_policy.cpp
@@ -13,9 +13,11 @@
 constexpr double LOCAL_TRANSIT_MICROSECONDS = 500;
 constexpr double REMOTE_TRANSIT_MICROSECONDS = 3000;
 
-/// Failure rate from which on a worker only gets a task when no other has room.
+/// Failure rate from which on a worker is in quarantine, unless the others fail too.
 constexpr double QUARANTINE_RATE = 0.5;
-constexpr double QUARANTINE_PENALTY = 50;
+
+/// Interval at which a worker in quarantine gets a task, to show whether it has recovered.
+constexpr microseconds TRIAL_INTERVAL = milliseconds(400);
 
 /// Spreads tasks of several entries over workers that are about equally good.
 constexpr double TIE_SPREAD = 0.08;
@@ -43,6 +45,8 @@
 
 pooled_worker *earliest_done_placement::choose(worker_pool &pool, const placement_request &request)
 {
+    const pool_usual usual = usualOf(pool, m_time.steadyNow());
+    const bool hasOther = hasSoundWorkerBeside(pool, request, usual);
     pooled_worker *best = nullptr;
     double bestExpected = std::numeric_limits<double>::max();
     for (auto &[agent, worker] : pool.workers()) {
@@ -50,10 +54,11 @@
             || !request.step->shape.fitsInto(worker.freeRoom())) {
             continue;
         }
-        double expected = expectedMicroseconds(worker, *request.step);
-        if (agent == request.avoidedAgent) {
-            expected *= QUARANTINE_PENALTY;
+        const bool isUnsuitable = agent == request.avoidedAgent || (isQuarantined(worker, usual) && !mayBeTried(worker));
+        if (isUnsuitable && hasOther) {
+            continue;
         }
+        const double expected = expectedMicroseconds(worker, *request.step);
         if (expected < bestExpected) {
             bestExpected = expected;
             best = &worker;
@@ -62,6 +67,28 @@
     return best;
 }
 
+bool earliest_done_placement::hasSoundWorkerBeside(const worker_pool &pool, const placement_request &request, const pool_usual &usual) const
+{
+    const auto &workers = pool.workers();
+    return std::any_of(workers.begin(), workers.end(), [&](const auto &entry) {
+        const pooled_worker &worker = entry.second;
+        return pool.isUsable(worker) && isEligible(worker, request) && entry.first != request.avoidedAgent
+            && !request.excludedAgents.contains(entry.first) && request.step->shape.fitsInto(worker.status.capacity)
+            && !isQuarantined(worker, usual);
+    });
+}
+
+bool earliest_done_placement::isQuarantined(const pooled_worker &worker, const pool_usual &usual) const
+{
+    const bool isFailing = worker.performance.failureRate(m_time.steadyNow()) > QUARANTINE_RATE && usual.failureRate < QUARANTINE_RATE / 2;
+    return isFailing || worker.performance.slowness() >= SLOW_WORKER_FACTOR * usual.slowness;
+}
+
+bool earliest_done_placement::mayBeTried(const pooled_worker &worker) const
+{
+    return m_time.steadyNow() >= worker.lastOrderAt + TRIAL_INTERVAL;
+}
+
 bool earliest_done_placement::couldRun(const worker_pool &pool, const placement_request &request) const
 {
     const auto &workers = pool.workers();
@@ -77,9 +104,6 @@
     const double failureRate = worker.performance.failureRate(m_time.steadyNow());
     // A failed run costs its time and that of the run that replaces it.
     expected *= 1 + 2 * failureRate;
-    if (failureRate > QUARANTINE_RATE) {
-        expected *= QUARANTINE_PENALTY;
-    }
     expected += worker.dataCentre == m_dataCentre ? LOCAL_TRANSIT_MICROSECONDS : REMOTE_TRANSIT_MICROSECONDS;
     return expected * std::uniform_real_distribution<double>(1, 1 + TIE_SPREAD)(m_random);
 }
--- a/src/dispatch/placement_policy.h
+++ b/src/dispatch/placement_policy.h
@@ -37,7 +37,9 @@
 /**
  * Chooses the worker on which the task is expected to be done first.
  *
- * Answers to slow workers, to workers that fail what they start while their health is good, and to long ways between data centres.
+ * Answers to long ways between data centres, and to workers that are far slower than the others or fail what they start while their health
+ * is good: these are in quarantine, and get a task now and then to show that they have recovered. A task rather waits for a sound worker
+ * than to go to one in quarantine, or to the one where it ended without success.
  */
 class earliest_done_placement : public placement_policy
 {
@@ -49,6 +51,9 @@
     bool couldRun(const worker_pool &pool, const placement_request &request) const override;
 
 private:
+    bool hasSoundWorkerBeside(const worker_pool &pool, const placement_request &request, const pool_usual &usual) const;
+    bool isQuarantined(const pooled_worker &worker, const pool_usual &usual) const;
+    bool mayBeTried(const pooled_worker &worker) const;
     double expectedMicroseconds(const pooled_worker &worker, const step_spec &step);
 
     const time_source &m_time;
--- a/src/dispatch/straggler_policy.cpp
+++ b/src/dispatch/straggler_policy.cpp
@@ -1,8 +1,6 @@
 #include "dispatch/straggler_policy.h"
 
-#include <algorithm>
 #include <array>
-#include <vector>
 
 namespace azuremoor
 {
@@ -16,8 +14,7 @@
 /// Age of the latest report up to which it says something about progress.
 constexpr microseconds FRESH_REPORT = milliseconds(250);
 
-/// How many times slower than the others a worker has to be, and how many times longer a run has to take, to be moved.
-constexpr double SLOW_WORKER = 2.5;
+/// How many times longer a run on a slow worker has to take than elsewhere to be moved.
 constexpr double WORTH_MOVING = 2;
 
 constexpr double WHOLE_PERCENT = 100;
@@ -41,7 +38,7 @@
     if (now >= run.lastAdvance + STALL_TIME) {
         return run_health::stalled;
     }
-    if (*run.percent == 0 || worker.performance.slowness() < SLOW_WORKER * usualSlowness) {
+    if (*run.percent == 0 || worker.performance.slowness() < SLOW_WORKER_FACTOR * usualSlowness) {
         return run_health::sound;
     }
     const double elapsed = static_cast<double>((now - run.orderedAt).count());
@@ -50,20 +47,4 @@
     return left > WORTH_MOVING * elsewhere ? run_health::slow : run_health::sound;
 }
 
-double usualSlowness(const worker_pool &pool)
-{
-    std::vector<double> all;
-    for (const auto &[agent, worker] : pool.workers()) {
-        if (pool.isUsable(worker)) {
-            all.push_back(worker.performance.slowness());
-        }
-    }
-    if (all.empty()) {
-        return 1;
-    }
-    const auto middle = all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2);
-    std::nth_element(all.begin(), middle, all.end());
-    return *middle;
-}
-
 }
--- a/src/dispatch/straggler_policy.h
+++ b/src/dispatch/straggler_policy.h
@@ -37,9 +37,6 @@
     judge(const pooled_worker &worker, const pooled_worker::outstanding_run &run, double usualSlowness, steady_time now) const override;
 };
 
-/// Returns the median slowness of the usable workers, or 1 when there is none.
-double usualSlowness(const worker_pool &pool);
-
 }
 
 #endif
--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -495,3 +495,39 @@
     CHECK(rate.perMicrosecond(now + milliseconds(100)) < 0.004);
     CHECK(rate.perMicrosecond(now + seconds(2)) < 0.0001);
 }
+
+TEST_CASE("slow worker: it gets no ordinary work while others are sound, but a task now and then")
+{
+    tested_dispatcher test;
+    test.addWorker("slow", 100'000);
+    test.addWorker("good", 4000);
+    test.addWorker("other", 4000);
+    for (int sample = 0; sample < 40; ++sample) {
+        test.pool.workers().at("slow").performance.noteSpeed(milliseconds(100), milliseconds(700));
+    }
+    test.submit(1, "first", 20, milliseconds(400));
+    const auto onSlow = [&test] {
+        return std::count_if(test.started.begin(), test.started.end(), [](const auto &start) { return start.first == "slow"; });
+    };
+    CHECK(test.started.size() == 9);
+    CHECK(onSlow() == 1);
+    test.passTime(milliseconds(200));
+    CHECK(onSlow() == 1);
+    test.passTime(milliseconds(250));
+    CHECK(onSlow() == 2);
+}
+
+TEST_CASE("grey failures: when all workers fail alike, none is left out")
+{
+    tested_dispatcher test;
+    test.rule.maxAttempts = 100;
+    test.addWorker("one", 4000);
+    test.addWorker("two", 4000);
+    for (int failure = 0; failure < 10; ++failure) {
+        for (auto &[agent, worker] : test.pool.workers()) {
+            worker.performance.noteFailed(test.time.steadyNow());
+        }
+    }
+    test.submit(1, "job", 8, milliseconds(400));
+    CHECK(test.started.size() == 8);
+}
--- a/src/dispatch/worker_pool.cpp
+++ b/src/dispatch/worker_pool.cpp
@@ -15,6 +15,16 @@
 constexpr std::uint8_t SAMPLE_PERCENT = 3;
 constexpr microseconds SAMPLE_AGE = milliseconds(60);
 
+double medianOf(std::vector<double> values, double absent)
+{
+    if (values.empty()) {
+        return absent;
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
 std::uint32_t lessOrZero(std::uint32_t value, std::uint32_t subtracted)
 {
     return value - std::min(value, subtracted);
@@ -133,6 +143,7 @@
 void worker_pool::order(pooled_worker &worker, const task_reference &task, run_order order, microseconds estimate)
 {
     order.sequence = ++worker.lastOrder;
+    worker.lastOrderAt = m_time.steadyNow();
     worker.runs[order.sequence] = {task, order.shape, estimate, m_time.steadyNow(), false, std::nullopt, {}, false};
     start_runs &batch = m_orders[worker.agent];
     batch.worker = worker.status.worker;
@@ -280,4 +291,17 @@
     }
 }
 
+pool_usual usualOf(const worker_pool &pool, steady_time now)
+{
+    std::vector<double> slowness;
+    std::vector<double> failureRates;
+    for (const auto &[agent, worker] : pool.workers()) {
+        if (pool.isUsable(worker)) {
+            slowness.push_back(worker.performance.slowness());
+            failureRates.push_back(worker.performance.failureRate(now));
+        }
+    }
+    return {medianOf(std::move(slowness), 1), medianOf(std::move(failureRates), 0)};
+}
+
 }
--- a/src/dispatch/worker_pool.h
+++ b/src/dispatch/worker_pool.h
@@ -61,6 +61,7 @@
     /// When the agent's latest heartbeat was answered. The agent's lease ends a fixed time after it at most.
     steady_time lastAnswered;
     std::uint64_t lastOrder = 0;
+    steady_time lastOrderAt;
     std::uint64_t lastResult = 0;
     std::map<std::uint64_t, outstanding_run> runs;
     /// Runs that an earlier process of the agent was ordered. They are over once its successor reports ready.
@@ -72,6 +73,15 @@
     task_shape freeRoom() const;
 };
 
+/// How the usable workers do on the whole: medians over them.
+struct pool_usual {
+    double slowness = 1;
+    double failureRate = 0;
+};
+
+/// How many times slower than usual a worker is when it gets no ordinary work.
+constexpr double SLOW_WORKER_FACTOR = 2.5;
+
 /// Times after which an entry may draw conclusions from silence.
 struct silence_rules {
     /// Time from an entry's last answer to an agent until none of its runs can be under way there.
@@ -149,6 +159,9 @@
     std::map<std::string, stop_runs> m_stops;
 };
 
+/// Returns how the usable workers of the pool do.
+pool_usual usualOf(const worker_pool &pool, steady_time now);
+
 }
 
 #endif
