Revert the margin on the expected wait

Tried: a job is admitted only if twice its expected wait still leaves it in time.

Conclusion: dropped.

--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -27,9 +27,6 @@
 /// Runs of one task that are moved from a worker that hangs or is slow, at most.
 constexpr std::uint32_t MAX_MOVES = 3;
 
-/// The wait may take this many times as long as expected: jobs that come later may go first.
-constexpr int WAIT_MARGIN = 2;
-
 /// Bound on the time that a job takes at a stopping entry: this many times its estimate, and the slack.
 constexpr int STOP_FACTOR = 2;
 constexpr milliseconds STOP_SLACK{200};
@@ -334,7 +331,7 @@
         return true;
     }
     const microseconds wait = m_admission.expectedWait(load);
-    const bool isAdmitted = m_time.steadyNow() + WAIT_MARGIN * wait <= job.latestStart();
+    const bool isAdmitted = m_time.steadyNow() + wait <= job.latestStart();
     m_journal.note(isAdmitted ? "job_admitted" : "job_refused",
                    {{"job", job.spec.id},
                     {"request", std::to_string(request)},
@@ -450,7 +447,7 @@
 {
     job.isConfirmed = true;
     const microseconds wait = m_admission.expectedWait(loadFor(job));
-    if (m_time.steadyNow() + WAIT_MARGIN * wait > job.latestStart()) {
+    if (m_time.steadyNow() + wait > job.latestStart()) {
         finish(job, refusal(answer_kind::refused_full, "the work that waits makes it late", wait));
     }
 }
