One line tells a job's answer with what became of its orders

Change: job_answered has the orders, how many were refused, the runs that were lost, when the last one was ordered and who ran it; a refusal for want of room has no line of its own.

--- a/src/dispatch/active_job.h
+++ b/src/dispatch/active_job.h
@@ -39,6 +39,19 @@
     std::string avoidedAgent;
 };
 
+/// What became of a job's orders, for the one line that tells of its answer.
+struct job_history {
+    std::uint32_t orders = 0;
+    /// Orders that an agent or worker refused, mostly for want of room.
+    std::uint32_t refusedOrders = 0;
+    /// Runs that ended without success.
+    std::uint32_t lostRuns = 0;
+    /// When the latest run was ordered.
+    steady_time lastOrderAt{};
+    /// Agent whose run ended last.
+    std::string lastAgent;
+};
+
 /// A job that an entry has admitted, from its submission until no run of it is under way.
 class active_job
 {
@@ -85,6 +98,7 @@
     /// After this nobody waits for the answer.
     steady_time deadline;
     std::vector<active_task> tasks;
+    job_history history;
     /// Requests that wait for the answer.
     std::vector<std::uint64_t> requests;
     /// The answer is given; what is still under way is being stopped.
--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -132,7 +132,9 @@
     }
     active_job &job = found->second;
     active_task &task = job.tasks[reference.task];
-    if (outcome != run_outcome::done) {
+    job.history.lastAgent = agent;
+    // Many orders are refused for want of room under load; the line of the answer has their number.
+    if (outcome != run_outcome::done && outcome != run_outcome::no_room) {
         m_journal.note("run_ended",
                        {{"job", job.spec.id},
                         {"task", job.taskName(reference.task)},
@@ -173,9 +175,11 @@
     }
     if (hasBegun(outcome)) {
         ++m_counters.retries;
+        ++job.history.lostRuns;
         task.avoidedAgent = agent;
     } else {
         ++m_counters.refusedOrders;
+        ++job.history.refusedOrders;
     }
     enqueue(job);
 }
@@ -369,6 +373,8 @@
         }
         ++task.runNumber;
         ++m_counters.orders;
+        ++job.history.orders;
+        job.history.lastOrderAt = m_time.steadyNow();
         m_orderedWork.add(static_cast<double>(step.shape.milliCores) * static_cast<double>(step.estimate.count()), m_time.steadyNow());
         task.state = task_state::running;
         m_journal.note("run_ordered",
@@ -493,6 +499,11 @@
                     {"queue", job.rule.name},
                     {"answer", std::string(answerKindName(answer.kind))},
                     {"reason", answer.reason},
+                    {"orders", std::to_string(job.history.orders)},
+                    {"refused_orders", std::to_string(job.history.refusedOrders)},
+                    {"lost_runs", std::to_string(job.history.lostRuns)},
+                    {"last_order_us", std::to_string(job.history.orders > 0 ? (job.history.lastOrderAt - job.arrival).count() : -1)},
+                    {"last_agent", job.history.lastAgent},
                     {"after_us", std::to_string((m_time.steadyNow() - job.arrival).count())},
                     {"late_us", std::to_string((m_time.steadyNow() - job.objective()).count())}});
     m_answers.answerRequest(request, answer);
