A worker's clock and the answers in files of their own

Change: worker_clock (samples, lease, the latest end) with two cases; job_answer with the kinds of answers.

--- /dev/null
+++ b/src/dispatch/job_answer.cpp
@@ -0,0 +1,15 @@
+#include "dispatch/job_answer.h"
+
+#include <array>
+
+namespace azuremoor
+{
+
+std::string_view answerKindName(answer_kind kind)
+{
+    constexpr std::array<std::string_view, ANSWER_KINDS> NAMES
+        = {"completed", "failed", "refused_full", "refused_unavailable", "expired", "cancelled"};
+    return NAMES[static_cast<std::size_t>(kind)];
+}
+
+}
--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -36,12 +36,6 @@
 
 }
 
-std::string_view answerKindName(answer_kind kind)
-{
-    constexpr std::string_view NAMES[] = {"completed", "failed", "refused_full", "refused_unavailable", "expired", "cancelled"};
-    return NAMES[static_cast<std::size_t>(kind)];
-}
-
 job_dispatcher::job_dispatcher(const time_source &time,
                                worker_pool &pool,
                                placement_policy &placement,
--- a/src/dispatch/job_dispatcher.h
+++ b/src/dispatch/job_dispatcher.h
@@ -1,6 +1,7 @@
 #ifndef AZUREMOOR_DISPATCH_JOB_DISPATCHER_H
 #define AZUREMOOR_DISPATCH_JOB_DISPATCHER_H
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,6 +12,7 @@
 #include "dispatch/active_job.h"
 #include "dispatch/admission_policy.h"
 #include "dispatch/decaying_rate.h"
+#include "dispatch/job_answer.h"
 #include "dispatch/placement_policy.h"
 #include "dispatch/straggler_policy.h"
 #include "dispatch/worker_pool.h"
@@ -18,41 +20,6 @@
 namespace azuremoor
 {
 
-/// How a request for a job is answered.
-enum class answer_kind : std::uint8_t {
-    completed,
-    /// A task failed too often, or no worker could ever run it.
-    failed,
-    /// Proved not to have run: there is too much work. The caller may come back.
-    refused_full,
-    /// Proved not to have run: something that the job needs is missing. The caller may come back.
-    refused_unavailable,
-    /// Not done by the deadline. Some of it may have run.
-    expired,
-    cancelled,
-};
-
-/// Returns the name of the kind, for logs and counters.
-std::string_view answerKindName(answer_kind kind);
-
-/// The one answer to a request.
-struct job_answer {
-    answer_kind kind = answer_kind::failed;
-    std::string reason;
-    /// When the caller may come back; only for refusals.
-    steady_time retryAt{};
-};
-
-/// Delivers answers to callers.
-class answer_sink
-{
-public:
-    virtual ~answer_sink() = default;
-
-    /// Answers the request, once.
-    virtual void answerRequest(std::uint64_t request, const job_answer &answer) = 0;
-};
-
 /// What a dispatcher has counted.
 struct dispatch_counters {
     std::uint64_t admitted = 0;
@@ -62,7 +29,7 @@
     std::uint64_t refusedOrders = 0;
     std::uint64_t movedRuns = 0;
     std::uint64_t abandoned = 0;
-    std::uint64_t answers[6] = {};
+    std::array<std::uint64_t, ANSWER_KINDS> answers{};
 };
 
 /**
--- a/src/jobs/task_placements.cpp
+++ b/src/jobs/task_placements.cpp
@@ -18,9 +18,9 @@
 
 const std::set<placed_task> &task_placements::at(const std::string &agent) const
 {
-    static const std::set<placed_task> NONE;
+    static const std::set<placed_task> none;
     const auto found = m_byAgent.find(agent);
-    return found == m_byAgent.end() ? NONE : found->second;
+    return found == m_byAgent.end() ? none : found->second;
 }
 
 std::set<placed_task> task_placements::take(const std::string &agent)
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -3,15 +3,14 @@
 #include <algorithm>
 #include <array>
 
+#include "runs/worker_clock.h"
+
 namespace azuremoor
 {
 
 namespace
 {
 
-/// A worker's clock may be this much slow or fast.
-constexpr double CLOCK_TOLERANCE = 0.02;
-
 /// Time that a worker takes to stop a run, and slack for timers.
 constexpr milliseconds STOP_SLACK{70};
 
@@ -31,11 +30,6 @@
 /// Earlier lives of the worker that are remembered, so that their late reports are told.
 constexpr std::size_t MAX_FORMER_WORKERS = 64;
 
-milliseconds stretched(milliseconds duration)
-{
-    return milliseconds(static_cast<std::int64_t>(static_cast<double>(duration.count()) * (1 + CLOCK_TOLERANCE)) + 1);
-}
-
 }
 
 std::string_view orderReplyName(order_reply reply)
@@ -52,6 +46,15 @@
 
 /// The present life of the worker.
 struct run_supervisor::known_worker {
+    known_worker(const time_source &time, const worker_report &firstReport)
+        : report(firstReport)
+        // The worker's clock rises within one of its lives, so that a successor of this process has a higher token.
+        , fencingToken(static_cast<std::uint64_t>(std::max<worker_milliseconds>(firstReport.clock, 1)))
+        , draining(firstReport.draining)
+        , clock(time, firstReport.clock)
+    {
+    }
+
     worker_report report;
     std::uint64_t fencingToken = 0;
     bool draining = false;
@@ -59,11 +62,7 @@
     bool isHeld = false;
     /// The worker runs something that this process did not order.
     bool hasForeignRuns = false;
-    /// The latest sample of the worker's clock, and when it was received.
-    worker_milliseconds sampledClock = 0;
-    steady_time sampledAt;
-    /// The latest deadline that any order has carried, on the worker's clock.
-    worker_milliseconds latestDeadline = 0;
+    worker_clock clock;
     std::uint64_t acknowledged = 0;
     std::uint64_t renewals = 0;
     std::uint64_t newestAnswered = 0;
@@ -142,8 +141,8 @@
     run.session = session;
     run.sequence = order.sequence;
     run.shape = order.shape;
-    run.orderDeadline = clockNow() + m_rules.workerLease.count();
-    m_worker->latestDeadline = std::max(m_worker->latestDeadline, run.orderDeadline);
+    run.orderDeadline = m_worker->clock.now() + m_rules.workerLease.count();
+    m_worker->clock.extendLease(run.orderDeadline);
     m_runs.emplace(key, run);
     m_port.startRun(context(), order, run.orderDeadline, [this, worker, key](order_reply reply, worker_milliseconds clock) {
         finishStart(worker, key, reply, clock);
@@ -250,13 +249,7 @@
 
 void run_supervisor::adopt(const worker_report &report)
 {
-    m_worker = std::make_unique<known_worker>();
-    m_worker->report = report;
-    m_worker->draining = report.draining;
-    // The worker's clock rises within one of its lives, so that a successor of this process has a higher token.
-    m_worker->fencingToken = static_cast<std::uint64_t>(std::max<worker_milliseconds>(report.clock, 1));
-    m_worker->sampledClock = report.clock;
-    m_worker->sampledAt = m_time.steadyNow();
+    m_worker = std::make_unique<known_worker>(m_time, report);
     m_journal.note("worker_known",
                    {{"worker", report.worker}, {"service", report.service}, {"token", std::to_string(m_worker->fencingToken)}});
     renew(milliseconds(0));
@@ -290,7 +283,7 @@
     }
     switch (reply) {
     case order_reply::accepted:
-        noteClock(clock);
+        m_worker->clock.note(clock);
         run.settledBy = m_worker->renewals + 1;
         if (run.state == run_state::ordered) {
             run.state = run_state::running;
@@ -360,10 +353,10 @@
     lease_request request;
     // A worker that does not answer gets no longer lease: what runs there has to end at a known time.
     const bool isExtended = !m_worker->isHeld || (isAnswering() && !isLeaseWithheld());
-    request.deadline = isExtended ? clockNow() + m_rules.workerLease.count() : m_worker->latestDeadline;
+    request.deadline = isExtended ? m_worker->clock.now() + m_rules.workerLease.count() : m_worker->clock.leaseEnd();
     request.acknowledged = m_worker->acknowledged;
     request.wait = wait;
-    m_worker->latestDeadline = std::max(m_worker->latestDeadline, request.deadline);
+    m_worker->clock.extendLease(request.deadline);
     m_worker->lastRenewal = m_time.steadyNow();
     ++m_worker->renewalsUnderWay;
     const std::uint64_t number = ++m_worker->renewals;
@@ -386,7 +379,7 @@
         m_journal.note("renewal_failed", {{"worker", worker}, {"reply", std::string(orderReplyName(reply.reply))}});
         return;
     }
-    noteClock(reply.clock);
+    m_worker->clock.note(reply.clock);
     m_worker->lastAnswer = m_time.steadyNow();
     takeEnds(reply.ended);
     if (number > m_worker->newestAnswered) {
@@ -464,19 +457,9 @@
     }
 }
 
-void run_supervisor::noteClock(worker_milliseconds clock)
-{
-    if (clock > m_worker->sampledClock) {
-        m_worker->sampledClock = clock;
-        m_worker->sampledAt = m_time.steadyNow();
-    }
-}
-
 void run_supervisor::checkLapse()
 {
-    const milliseconds left(m_worker->latestDeadline - m_worker->sampledClock);
-    const steady_time lapse = m_worker->sampledAt + stretched(std::max(left, milliseconds(0))) + STOP_SLACK;
-    if (m_time.steadyNow() < lapse || !m_worker->isHeld) {
+    if (m_time.steadyNow() < m_worker->clock.leaseOverBy() + STOP_SLACK || !m_worker->isHeld) {
         return;
     }
     m_worker->isHeld = false;
@@ -487,12 +470,6 @@
     m_listener.changeWorker();
 }
 
-worker_milliseconds run_supervisor::clockNow() const
-{
-    const auto age = std::chrono::duration_cast<milliseconds>(m_time.steadyNow() - m_worker->sampledAt);
-    return m_worker->sampledClock + age.count();
-}
-
 task_shape run_supervisor::usedRoom() const
 {
     task_shape used;
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -123,12 +123,10 @@
     void takeEnds(const std::vector<listed_end> &ends);
     void compareActive(std::uint64_t number, const lease_reply &reply);
     void stopForeign(const std::vector<listed_run> &active);
-    void noteClock(worker_milliseconds clock);
     void checkLapse();
     bool isAnswering() const;
     bool isLeaseWithheld() const;
     void endEarly(const run_key &key, supervised_run &run);
-    worker_milliseconds clockNow() const;
     task_shape usedRoom() const;
     void end(run_map::iterator run, run_outcome outcome);
     order_context context() const;
--- /dev/null
+++ b/src/runs/tests/worker_clock_test.cpp
@@ -0,0 +1,29 @@
+#include <doctest/doctest.h>
+
+#include "runs/worker_clock.h"
+#include "testing/virtual_time.h"
+
+using namespace azuremoor;
+
+TEST_CASE("a worker's clock goes on between samples, and late samples do not set it back")
+{
+    testing::virtual_time time;
+    worker_clock clock(time, 5000);
+    time.run(milliseconds(100));
+    CHECK(clock.now() == 5100);
+    clock.note(5098);
+    CHECK(clock.now() == 5098);
+    clock.note(5050);
+    CHECK(clock.now() == 5098);
+}
+
+TEST_CASE("a lease is over only when the slowest clock has ended it, and never shortens")
+{
+    testing::virtual_time time;
+    worker_clock clock(time, 5000);
+    clock.extendLease(6000);
+    clock.extendLease(5500);
+    CHECK(clock.leaseEnd() == 6000);
+    CHECK(clock.leaseOverBy() - time.steadyNow() >= milliseconds(1020));
+    CHECK(clock.leaseOverBy() - time.steadyNow() <= milliseconds(1022));
+}
--- /dev/null
+++ b/src/runs/worker_clock.cpp
@@ -0,0 +1,48 @@
+#include "runs/worker_clock.h"
+
+#include <algorithm>
+
+namespace azuremoor
+{
+
+milliseconds stretched(milliseconds duration)
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(duration.count()) * (1 + CLOCK_TOLERANCE)) + 1);
+}
+
+worker_clock::worker_clock(const time_source &time, worker_milliseconds sample)
+    : m_time(time)
+    , m_sample(sample)
+    , m_sampledAt(time.steadyNow())
+{
+}
+
+void worker_clock::note(worker_milliseconds sample)
+{
+    if (sample > m_sample) {
+        m_sample = sample;
+        m_sampledAt = m_time.steadyNow();
+    }
+}
+
+worker_milliseconds worker_clock::now() const
+{
+    return m_sample + std::chrono::duration_cast<milliseconds>(m_time.steadyNow() - m_sampledAt).count();
+}
+
+void worker_clock::extendLease(worker_milliseconds deadline)
+{
+    m_leaseEnd = std::max(m_leaseEnd, deadline);
+}
+
+worker_milliseconds worker_clock::leaseEnd() const
+{
+    return m_leaseEnd;
+}
+
+steady_time worker_clock::leaseOverBy() const
+{
+    return m_sampledAt + stretched(std::max(milliseconds(m_leaseEnd - m_sample), milliseconds(0)));
+}
+
+}
