--- a/src/dispatch/active_job.cpp
+++ b/src/dispatch/active_job.cpp
@@ -71,9 +71,11 @@
     return std::any_of(tasks.begin(), tasks.end(), [](const active_task &task) { return task.state == task_state::waiting; });
 }
 
-bool active_job::hasStarted() const
+bool active_job::mayHaveBegun() const
 {
-    return std::any_of(tasks.begin(), tasks.end(), [](const active_task &task) { return task.runNumber > 0; });
+    return history.lostRuns > 0 || std::any_of(tasks.begin(), tasks.end(), [](const active_task &task) {
+               return task.state == task_state::running || task.state == task_state::done;
+           });
 }
 
 std::size_t active_job::runningTasks() const
--- a/src/dispatch/active_job.h
+++ b/src/dispatch/active_job.h
@@ -83,8 +83,8 @@
     /// Returns whether a task waits for a worker.
     bool hasWaitingTask() const;
 
-    /// Returns whether a run of any task has ever been ordered.
-    bool hasStarted() const;
+    /// Returns whether a run of any task may have begun. An order that was refused has not.
+    bool mayHaveBegun() const;
 
     /// Returns the number of tasks with a run that may be under way.
     std::size_t runningTasks() const;
--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -114,7 +114,7 @@
 std::size_t job_dispatcher::pending(const std::string &queue) const
 {
     return std::count_if(m_jobs.begin(), m_jobs.end(), [&queue](const auto &entry) {
-        return entry.second.rule.name == queue && !entry.second.isEnding && !entry.second.hasStarted();
+        return entry.second.rule.name == queue && !entry.second.isEnding && !entry.second.mayHaveBegun();
     });
 }
 
@@ -207,9 +207,9 @@
         }
         if (now >= job.deadline) {
             expired.push_back(number);
-        } else if (job.isLate && !job.hasStarted() && now >= job.objective()) {
+        } else if (job.isLate && !job.mayHaveBegun() && now >= job.objective()) {
             overdue.push_back(number);
-        } else if (!job.isConfirmed && !job.hasStarted() && now >= job.arrival + (job.objective() - job.arrival) / CONFIRM_DIVISOR) {
+        } else if (!job.isConfirmed && !job.mayHaveBegun() && now >= job.arrival + (job.objective() - job.arrival) / CONFIRM_DIVISOR) {
             unconfirmed.push_back(number);
         }
     }
@@ -248,7 +248,7 @@
 job_dispatcher::queue_key job_dispatcher::keyOf(const active_job &job)
 {
     // What has begun is finished first: ended halfway it would be lost work.
-    const bool isLast = job.isLate && !job.hasStarted();
+    const bool isLast = job.isLate && !job.mayHaveBegun();
     return {isLast ? urgency::late : urgency::in_time_or_begun, job.latestStart(), job.number};
 }
 
@@ -272,7 +272,7 @@
         if (key.rank != urgency::in_time_or_begun || key.latestStart >= now) {
             break;
         }
-        if (!m_jobs.at(key.job).hasStarted()) {
+        if (!m_jobs.at(key.job).mayHaveBegun()) {
             late.push_back(key.job);
         }
     }
--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -531,3 +531,25 @@
     test.submit(1, "job", 8, milliseconds(400));
     CHECK(test.started.size() == 8);
 }
+
+TEST_CASE("burst: a job whose orders were all refused has not run, and is refused like one without orders")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "full", 4, milliseconds(400));
+    test.time.run(milliseconds(1));
+    test.addWorker("two", 1000);
+    test.submit(2, "old", 1, milliseconds(400));
+    REQUIRE(test.started.size() == 5);
+    // Another entry has taken the room meanwhile.
+    worker_status status = test.pool.workers().at("two").status;
+    status.free = {};
+    status.appliedOrder = 1;
+    test.pool.updateStatus("two", status);
+    test.end(4, run_outcome::no_room);
+    for (int step = 0; step < 16; ++step) {
+        test.passTime(milliseconds(50));
+    }
+    CHECK(test.answers.at(2).kind == answer_kind::refused_full);
+    CHECK(test.started.size() == 5);
+}
