Results of an agent that has forgotten the entry count

Cause: found by reading: an agent forgets an entry that it has not reached for 20 s, and numbers its results from 1 on when they meet again. The entry took them for repeats of the first ones and ignored them, so that its runs there would have stood until their callers left.

Change: a first status without any applied order starts the numbering anew. The case in job_dispatcher_test failed before.

--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -553,3 +553,18 @@
     CHECK(test.answers.at(2).kind == answer_kind::refused_full);
     CHECK(test.started.size() == 5);
 }
+
+TEST_CASE("an agent that has forgotten the entry numbers its results anew, and they count")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "first");
+    test.end(0, run_outcome::done);
+    REQUIRE(test.answers.contains(1));
+    test.pool.disconnectAgent("one");
+    test.addWorker("one");
+    test.submit(2, "second");
+    REQUIRE(test.started.size() == 2);
+    test.pool.receiveResults("one", {1, {{test.started[1].second.sequence, run_outcome::done}}});
+    CHECK(test.answers.contains(2));
+}
--- a/src/dispatch/worker_pool.cpp
+++ b/src/dispatch/worker_pool.cpp
@@ -99,6 +99,10 @@
     pooled_worker &worker = found->second;
     if (worker.awaitingStatus) {
         worker.awaitingStatus = false;
+        if (status.appliedOrder == 0) {
+            // The agent has forgotten an earlier session with this entry, and numbers its results anew.
+            worker.lastResult = 0;
+        }
         dropUnknownOrders(worker, status.appliedOrder);
     }
     if (worker.status.worker != status.worker) {
