An entry that ends answers what it has taken

A stopping entry takes what it expects to end in time; a job that took longer was cut without an answer when the process ended, 5 s after SIGTERM.

One case in job_dispatcher_test.

--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -230,6 +230,20 @@
     m_stopEnd = end;
 }
 
+void job_dispatcher::giveUpAll()
+{
+    std::vector<std::uint64_t> unanswered;
+    for (const auto &[number, job] : m_jobs) {
+        if (!job.isEnding) {
+            unanswered.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : unanswered) {
+        finish(m_jobs.at(number), {answer_kind::expired, "this entry ends", {}});
+    }
+    m_pool.flush();
+}
+
 void job_dispatcher::setEntryCount(std::size_t entries)
 {
     m_entries = std::max<std::size_t>(entries, 1);
--- a/src/dispatch/job_dispatcher.h
+++ b/src/dispatch/job_dispatcher.h
@@ -75,6 +75,9 @@
     /// From now on takes only jobs that can be expected to be over by the time given, which is when this process ends.
     void beginStop(steady_time end);
 
+    /// Answers everything that is not answered, and stops its runs: this process ends now.
+    void giveUpAll();
+
     /// Sets how many entries share the workers, this one included.
     void setEntryCount(std::size_t entries);
 
--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -568,3 +568,15 @@
     test.pool.receiveResults("one", {1, {{test.started[1].second.sequence, run_outcome::done}}});
     CHECK(test.answers.contains(2));
 }
+
+TEST_CASE("an entry that ends answers what it has taken, and stops its runs")
+{
+    tested_dispatcher test;
+    test.addWorker("one");
+    test.submit(1, "running", 1, milliseconds(100));
+    test.submit(2, "waiting", 5, milliseconds(100));
+    test.dispatcher.giveUpAll();
+    CHECK(test.answers.at(1).kind == answer_kind::expired);
+    CHECK(test.answers.at(2).kind == answer_kind::expired);
+    CHECK(test.stopped.size() == test.started.size());
+}
