--- a/src/messages/tests/codec_test.cpp
+++ b/src/messages/tests/codec_test.cpp
@@ -51,7 +51,14 @@
             forwarded_query{4, "job-1", true},
             reply,
             table,
-            handover_received{1, 2, 3}};
+            handover_received{1, 2, 3},
+            start_runs{"worker-1", {{7, "job.0.1.2", 3, "payload", {500, 64, 1}}}},
+            stop_runs{{7, 8}},
+            run_results{4, {{7, run_outcome::done}, {8, run_outcome::rejected}}},
+            run_results_received{5},
+            worker_status{true, false, "worker-1", "desk", {"a", "r1"}, {4000, 4096, 0}, {500, 64, 0}, 7, {{7, 41}}},
+            known_entries{{"10.0.0.1:7720"}},
+            routing_update{7, "{}"}};
 }
 
 }
