--- a/src/dispatch/tests/dispatch_history.cpp
+++ b/src/dispatch/tests/dispatch_history.cpp
@@ -292,7 +292,19 @@
     m_agents.resize(settings.agents);
 }
 
-dispatch_history::~dispatch_history() = default;
+dispatch_history::~dispatch_history()
+{
+    for (const auto &processes : {m_entries, m_formerEntries}) {
+        for (const std::shared_ptr<entry_process> &entry : processes) {
+            entry->clearWaiting();
+        }
+    }
+    for (const auto &processes : {m_agents, m_formerAgents}) {
+        for (const std::shared_ptr<agent_process> &agent : processes) {
+            agent->clearWaiting();
+        }
+    }
+}
 
 dispatch_history_result dispatch_history::run()
 {
--- a/src/dispatch/tests/simulated_network.h
+++ b/src/dispatch/tests/simulated_network.h
@@ -26,10 +26,19 @@
     /// Calls the function now, or after the process wakes up and has done what waits already; never if the process is killed before.
     void whenAwake(std::function<void()> function)
     {
+        if (!isAlive) {
+            return;
+        }
         m_waiting.push_back(std::move(function));
         work();
     }
 
+    /// Forgets what waits, which may keep the process itself alive.
+    void clearWaiting()
+    {
+        m_waiting.clear();
+    }
+
     bool isAwake() const
     {
         return isAlive && m_time.steadyNow() >= suspendedUntil;
--- a/src/runs/tests/fake_worker.h
+++ b/src/runs/tests/fake_worker.h
@@ -49,7 +49,7 @@
     }
 
     /// Ends a run as the worker does.
-    void finish(const run_key &key, run_outcome outcome)
+    void finish(run_key key, run_outcome outcome)
     {
         if (m_active.erase(key) > 0) {
             m_ended.push_back({++m_lastEnd, key, outcome});
