One place for the work of a task; two comments that were not true

Cause: read once more: the estimated work of a task was computed in two places, a task was looked up twice in moveRun, and the comments on run_progress and run_listener said what they do not do.

Change: step_spec::taskWork serves both; the comments say what is so. No behaviour changes.

--- a/src/dispatch/active_job.cpp
+++ b/src/dispatch/active_job.cpp
@@ -50,8 +50,7 @@
     double work = 0;
     for (const active_task &task : tasks) {
         if (task.state == task_state::waiting) {
-            const step_spec &step = spec.steps[task.step];
-            work += static_cast<double>(step.shape.milliCores) * static_cast<double>(step.estimate.count());
+            work += spec.steps[task.step].taskWork();
         }
     }
     return work;
--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -383,7 +383,7 @@
         ++m_counters.orders;
         ++job.history.orders;
         job.history.lastOrderAt = m_time.steadyNow();
-        m_orderedWork.add(static_cast<double>(step.shape.milliCores) * static_cast<double>(step.estimate.count()), m_time.steadyNow());
+        m_orderedWork.add(step.taskWork(), m_time.steadyNow());
         task.state = task_state::running;
         m_journal.note("run_ordered",
                        {{"task", job.taskName(index)},
@@ -435,7 +435,7 @@
 {
     const task_reference reference = worker.runs.at(sequence).task;
     active_job &job = m_jobs.at(reference.job);
-    const active_task &task = job.tasks[reference.task];
+    active_task &task = job.tasks[reference.task];
     if (job.isEnding || task.movedRuns >= MAX_MOVES) {
         return;
     }
@@ -443,7 +443,7 @@
     if (m_placement.choose(m_pool, elsewhere) == nullptr) {
         return;
     }
-    ++job.tasks[reference.task].movedRuns;
+    ++task.movedRuns;
     ++m_counters.movedRuns;
     if (health == run_health::stalled) {
         worker.performance.noteFailed(m_time.steadyNow());
--- a/src/dispatch/job_spec.h
+++ b/src/dispatch/job_spec.h
@@ -25,6 +25,12 @@
     std::string nearRack;
     /// Most tasks of the step on one worker; 0 for no limit.
     std::uint32_t mostPerWorker = 0;
+
+    /// Returns the estimated processor time of one task: thousandths of a core times microseconds.
+    double taskWork() const
+    {
+        return static_cast<double>(shape.milliCores) * static_cast<double>(estimate.count());
+    }
 };
 
 /// A job as a caller submitted it.
--- a/src/dispatch/worker_pool.h
+++ b/src/dispatch/worker_pool.h
@@ -23,7 +23,7 @@
     std::uint32_t task = 0;
 };
 
-/// Learns how runs ended, and that there may be room again.
+/// Learns how runs ended.
 class run_listener
 {
 public:
--- a/src/messages/run_messages.h
+++ b/src/messages/run_messages.h
@@ -126,7 +126,7 @@
     }
 };
 
-/// Progress of one run, when it differs from what its age suggests.
+/// Progress of one run.
 struct run_progress {
     std::uint64_t sequence = 0;
     /// Share of the work that is done, in percent.
