Agents tell of room at an interval, and of freed room one entry at a time

Change: the worker itself is described once; room follows each 50 ms, with results, or at once to one of the entries that wish for it, by turns in proportion to what waits there. Placement runs only when room or work came, skips the other tasks of a step that found no room, and computes medians every 10 ms.

--- a/src/dispatch/active_job.cpp
+++ b/src/dispatch/active_job.cpp
@@ -65,6 +65,18 @@
     return milliCores;
 }
 
+std::uint32_t active_job::smallestWaitingMilliCores() const
+{
+    std::uint32_t smallest = 0;
+    for (const active_task &task : tasks) {
+        const std::uint32_t own = spec.steps[task.step].shape.milliCores;
+        if (task.state == task_state::waiting && (smallest == 0 || own < smallest)) {
+            smallest = own;
+        }
+    }
+    return smallest;
+}
+
 bool active_job::hasWaitingTask() const
 {
     return std::any_of(tasks.begin(), tasks.end(), [](const active_task &task) { return task.state == task_state::waiting; });
--- a/src/dispatch/active_job.h
+++ b/src/dispatch/active_job.h
@@ -80,6 +80,9 @@
     /// Returns the thousandths of a core that the waiting tasks need to run side by side.
     double waitingMilliCores() const;
 
+    /// Returns the thousandths of a core that the smallest waiting task needs, or 0 when none waits.
+    std::uint32_t smallestWaitingMilliCores() const;
+
     /// Returns whether a task waits for a worker.
     bool hasWaitingTask() const;
 
--- a/src/dispatch/dispatch_entry.cpp
+++ b/src/dispatch/dispatch_entry.cpp
@@ -60,6 +60,8 @@
         }
     } else if (const auto *status = std::get_if<worker_status>(&value)) {
         m_pool.updateStatus(peer, *status);
+    } else if (const auto *room = std::get_if<room_update>(&value)) {
+        m_pool.updateRoom(peer, *room);
     } else if (const auto *results = std::get_if<run_results>(&value)) {
         m_pool.receiveResults(peer, *results);
     } else if (const auto *known = std::get_if<known_entries>(&value)) {
--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -11,6 +11,9 @@
 /// Jobs with waiting tasks that one round looks at when the first ones find no room.
 constexpr std::size_t MAX_JOBS_WITHOUT_ROOM = 12;
 
+/// Waiting jobs that count in what agents are told of the need for room.
+constexpr std::size_t MAX_WISHING_JOBS = 50;
+
 /// Bounds of the time after which a refused caller is told to come back.
 constexpr microseconds SHORTEST_RETRY = milliseconds(500);
 constexpr microseconds LONGEST_RETRY = seconds(5);
@@ -180,21 +183,43 @@
 
 void job_dispatcher::placeWaiting()
 {
+    const bool hasChanged = m_pool.takeChange();
+    if (!hasChanged && !m_mayPlace) {
+        m_pool.flush();
+        return;
+    }
+    m_mayPlace = false;
     demoteLateJobs();
     std::size_t withoutRoom = 0;
     auto next = m_waiting.begin();
     while (next != m_waiting.end() && withoutRoom < MAX_JOBS_WITHOUT_ROOM) {
         active_job &job = m_jobs.at(next->job);
+        ++next;
         if (placeTasks(job)) {
-            next = m_waiting.erase(next);
+            dequeue(job);
         } else {
             ++withoutRoom;
-            ++next;
         }
     }
+    wishForRoom();
     m_pool.flush();
 }
 
+void job_dispatcher::wishForRoom()
+{
+    room_wish wish;
+    std::size_t looked = 0;
+    for (auto key = m_waiting.begin(); key != m_waiting.end() && key->rank == urgency::in_time_or_begun && looked < MAX_WISHING_JOBS;
+         ++key) {
+        const active_job &job = m_jobs.at(key->job);
+        wish.milliCores += static_cast<std::uint64_t>(job.waitingMilliCores());
+        const std::uint32_t smallest = job.smallestWaitingMilliCores();
+        wish.smallestMilliCores = looked == 0 ? smallest : std::min(wish.smallestMilliCores, smallest);
+        ++looked;
+    }
+    m_pool.setWish(wish);
+}
+
 void job_dispatcher::tick()
 {
     const steady_time now = m_time.steadyNow();
@@ -223,6 +248,8 @@
         finish(m_jobs.at(number), {answer_kind::expired, "not done by the deadline", {}});
     }
     moveStragglers();
+    // Workers come out of quarantine, and tasks become late, with time alone.
+    m_mayPlace = true;
 }
 
 void job_dispatcher::beginStop(steady_time end)
@@ -270,12 +297,19 @@
 {
     dequeue(job);
     job.isLate = m_time.steadyNow() > job.latestStart();
-    m_waiting.insert(keyOf(job));
+    const queue_key key = keyOf(job);
+    m_waiting.insert(key);
+    m_waitingKeys[job.number] = key;
+    m_mayPlace = true;
 }
 
-void job_dispatcher::dequeue(active_job &job)
+void job_dispatcher::dequeue(const active_job &job)
 {
-    std::erase_if(m_waiting, [&job](const queue_key &key) { return key.job == job.number; });
+    const auto found = m_waitingKeys.find(job.number);
+    if (found != m_waitingKeys.end()) {
+        m_waiting.erase(found->second);
+        m_waitingKeys.erase(found);
+    }
 }
 
 void job_dispatcher::demoteLateJobs()
@@ -368,15 +402,19 @@
 bool job_dispatcher::placeTasks(active_job &job)
 {
     bool isPlaced = true;
+    std::set<std::uint32_t> stepsWithoutRoom;
     for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
         active_task &task = job.tasks[index];
-        if (task.state != task_state::waiting) {
+        if (task.state != task_state::waiting || stepsWithoutRoom.contains(task.step)) {
             continue;
         }
         const step_spec &step = job.stepOf(index);
         pooled_worker *worker = m_placement.choose(m_pool, {&step, job.rule.service, task.avoidedAgent, agentsAtLimit(job, task.step)});
         if (worker == nullptr) {
             isPlaced = false;
+            if (task.avoidedAgent.empty()) {
+                stepsWithoutRoom.insert(task.step);
+            }
             continue;
         }
         ++task.runNumber;
--- a/src/dispatch/job_dispatcher.h
+++ b/src/dispatch/job_dispatcher.h
@@ -102,7 +102,7 @@
 
     static queue_key keyOf(const active_job &job);
     void enqueue(active_job &job);
-    void dequeue(active_job &job);
+    void dequeue(const active_job &job);
     void demoteLateJobs();
     admission_load loadFor(const active_job &job) const;
     bool refuseAtOnce(const active_job &job, std::uint64_t request);
@@ -110,6 +110,7 @@
     void endSuccessfulRun(active_job &job, std::uint32_t task);
     void endUnsuccessfulRun(active_job &job, active_task &task, run_outcome outcome, const std::string &agent);
     bool placeTasks(active_job &job);
+    void wishForRoom();
     std::set<std::string> agentsAtLimit(const active_job &job, std::uint32_t step) const;
     void moveStragglers();
     void moveRun(pooled_worker &worker, std::uint64_t sequence, run_health health);
@@ -131,7 +132,11 @@
     std::map<std::uint64_t, std::uint64_t> m_byRequest;
     /// Jobs with waiting tasks, the most urgent first.
     std::set<queue_key> m_waiting;
+    /// The keys under which jobs wait, by number of the job.
+    std::map<std::uint64_t, queue_key> m_waitingKeys;
     std::uint64_t m_nextJob = 1;
+    /// Waiting tasks may find room that they did not find before.
+    bool m_mayPlace = false;
     /// Work that was ordered lately.
     decaying_rate m_orderedWork;
     std::size_t m_entries = 1;
--- a/src/dispatch/placement_policy.cpp
+++ b/src/dispatch/placement_policy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace azuremoor
 {
@@ -19,6 +20,9 @@
 /// Interval at which a worker in quarantine gets a task, to show whether it has recovered.
 constexpr microseconds TRIAL_INTERVAL = milliseconds(400);
 
+/// Time for which the medians over all workers are used.
+constexpr microseconds USUAL_LIFETIME = milliseconds(10);
+
 /// Spreads tasks of several entries over workers that are about equally good.
 constexpr double TIE_SPREAD = 0.08;
 
@@ -45,17 +49,20 @@
 
 pooled_worker *earliest_done_placement::choose(worker_pool &pool, const placement_request &request)
 {
-    const pool_usual usual = usualOf(pool, m_time.steadyNow());
-    const bool hasOther = hasSoundWorkerBeside(pool, request, usual);
+    const pool_usual &usual = presentUsual(pool);
+    std::optional<bool> hasOther;
     pooled_worker *best = nullptr;
     double bestExpected = std::numeric_limits<double>::max();
     for (auto &[agent, worker] : pool.workers()) {
-        if (!pool.isUsable(worker) || !isEligible(worker, request) || request.excludedAgents.contains(agent)
-            || !request.step->shape.fitsInto(worker.freeRoom())) {
+        if (!pool.isUsable(worker) || !request.step->shape.fitsInto(worker.freeRoom()) || !isEligible(worker, request)
+            || request.excludedAgents.contains(agent)) {
             continue;
         }
         const bool isUnsuitable = agent == request.avoidedAgent || (isQuarantined(worker, usual) && !mayBeTried(worker));
-        if (isUnsuitable && hasOther) {
+        if (isUnsuitable && !hasOther) {
+            hasOther = hasSoundWorkerBeside(pool, request, usual);
+        }
+        if (isUnsuitable && *hasOther) {
             continue;
         }
         const double expected = expectedMicroseconds(worker, *request.step);
@@ -67,6 +74,16 @@
     return best;
 }
 
+const pool_usual &earliest_done_placement::presentUsual(const worker_pool &pool)
+{
+    const steady_time now = m_time.steadyNow();
+    if (now >= m_usualUntil) {
+        m_usual = usualOf(pool, now);
+        m_usualUntil = now + USUAL_LIFETIME;
+    }
+    return m_usual;
+}
+
 bool earliest_done_placement::hasSoundWorkerBeside(const worker_pool &pool, const placement_request &request, const pool_usual &usual) const
 {
     const auto &workers = pool.workers();
--- a/src/dispatch/placement_policy.h
+++ b/src/dispatch/placement_policy.h
@@ -52,6 +52,7 @@
 
 private:
     bool hasSoundWorkerBeside(const worker_pool &pool, const placement_request &request, const pool_usual &usual) const;
+    const pool_usual &presentUsual(const worker_pool &pool);
     bool isQuarantined(const pooled_worker &worker, const pool_usual &usual) const;
     bool mayBeTried(const pooled_worker &worker) const;
     double expectedMicroseconds(const pooled_worker &worker, const step_spec &step);
@@ -60,6 +61,8 @@
     std::string m_dataCentre;
     double m_remoteFactor;
     std::mt19937_64 m_random;
+    pool_usual m_usual;
+    steady_time m_usualUntil{};
 };
 
 }
--- a/src/dispatch/worker_pool.cpp
+++ b/src/dispatch/worker_pool.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/worker_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace azuremoor
 {
@@ -15,6 +16,13 @@
 constexpr std::uint8_t SAMPLE_PERCENT = 3;
 constexpr microseconds SAMPLE_AGE = milliseconds(60);
 
+/// Shortest time between two messages on what waits, and how long nothing has to wait until agents are told so.
+constexpr microseconds WISH_INTERVAL = milliseconds(50);
+constexpr microseconds WISH_MEMORY = milliseconds(200);
+
+/// The amount that waits is told again when it has changed by this factor.
+constexpr std::uint64_t WISH_FACTOR = 2;
+
 double medianOf(std::vector<double> values, double absent)
 {
     if (values.empty()) {
@@ -97,7 +105,8 @@
         return;
     }
     pooled_worker &worker = found->second;
-    if (worker.awaitingStatus) {
+    const bool isFirst = worker.awaitingStatus;
+    if (isFirst) {
         worker.awaitingStatus = false;
         if (status.appliedOrder == 0) {
             // The agent has forgotten an earlier session with this entry, and numbers its results anew.
@@ -114,8 +123,10 @@
         endOrphans(worker, "successor ready");
     }
     worker.statusAt = m_time.steadyNow();
-    for (const run_progress &progress : status.progress) {
-        updateProgress(worker, progress);
+    m_changed = true;
+    updateProgress(worker, status.progress);
+    if (isFirst && m_sentWish.milliCores > 0) {
+        m_outbox.send(agent, m_sentWish);
     }
     if (changed) {
         m_journal.note("worker_state",
@@ -126,6 +137,38 @@
     }
 }
 
+void worker_pool::updateRoom(const std::string &agent, const room_update &room)
+{
+    const auto found = m_workers.find(agent);
+    if (found == m_workers.end() || found->second.awaitingStatus) {
+        return;
+    }
+    pooled_worker &worker = found->second;
+    worker.status.free = room.free;
+    worker.status.appliedOrder = room.appliedOrder;
+    worker.statusAt = m_time.steadyNow();
+    m_changed = true;
+    updateProgress(worker, room.progress);
+}
+
+void worker_pool::setWish(const room_wish &wish)
+{
+    const steady_time now = m_time.steadyNow();
+    if (wish.milliCores > 0) {
+        m_lastWish = now;
+        m_wish = wish;
+    } else if (now >= m_lastWish + WISH_MEMORY) {
+        m_wish = wish;
+    }
+    const bool isOther = (m_wish.milliCores > 0) != (m_sentWish.milliCores > 0)
+        || m_wish.smallestMilliCores != m_sentWish.smallestMilliCores || m_wish.milliCores > WISH_FACTOR * m_sentWish.milliCores
+        || WISH_FACTOR * m_wish.milliCores < m_sentWish.milliCores;
+    if (isOther && now >= m_nextWish) {
+        m_nextWish = now + WISH_INTERVAL;
+        sendWish();
+    }
+}
+
 void worker_pool::receiveResults(const std::string &agent, const run_results &results)
 {
     const auto found = m_workers.find(agent);
@@ -200,6 +243,11 @@
     });
 }
 
+bool worker_pool::takeChange()
+{
+    return std::exchange(m_changed, false);
+}
+
 bool worker_pool::isUsable(const pooled_worker &worker) const
 {
     return worker.connected && !worker.awaitingStatus && worker.status.ready && !worker.status.draining
@@ -216,7 +264,24 @@
     return m_workers;
 }
 
-void worker_pool::updateProgress(pooled_worker &worker, const run_progress &progress)
+void worker_pool::updateProgress(pooled_worker &worker, const std::vector<run_progress> &progress)
+{
+    for (const run_progress &each : progress) {
+        advanceRun(worker, each);
+    }
+}
+
+void worker_pool::sendWish()
+{
+    m_sentWish = m_wish;
+    for (const auto &[agent, worker] : m_workers) {
+        if (worker.connected) {
+            m_outbox.send(agent, m_sentWish);
+        }
+    }
+}
+
+void worker_pool::advanceRun(pooled_worker &worker, const run_progress &progress)
 {
     const auto found = worker.runs.find(progress.sequence);
     if (found == worker.runs.end()) {
@@ -279,6 +344,7 @@
     }
     const pooled_worker::outstanding_run run = found->second;
     worker.runs.erase(found);
+    m_changed = true;
     const steady_time now = m_time.steadyNow();
     if (outcome == run_outcome::done) {
         worker.performance.noteDone(run.estimate, now - run.orderedAt, now);
--- a/src/dispatch/worker_pool.h
+++ b/src/dispatch/worker_pool.h
@@ -116,6 +116,12 @@
     /// The agent told about its worker.
     void updateStatus(const std::string &agent, const worker_status &status);
 
+    /// The agent told what room is free on its worker.
+    void updateRoom(const std::string &agent, const room_update &room);
+
+    /// Sets what the waiting tasks need that found no room, so that agents tell of room at once.
+    void setWish(const room_wish &wish);
+
     /// The agent told how runs ended.
     void receiveResults(const std::string &agent, const run_results &results);
 
@@ -131,6 +137,9 @@
     /// Sends the orders that have been collected.
     void flush();
 
+    /// Returns whether something has changed since the last call that may make room for a task.
+    bool takeChange();
+
     /// Draws conclusions from silence; to be called often.
     void tick();
 
@@ -142,7 +151,9 @@
     const std::map<std::string, pooled_worker> &workers() const;
 
 private:
-    void updateProgress(pooled_worker &worker, const run_progress &progress);
+    void updateProgress(pooled_worker &worker, const std::vector<run_progress> &progress);
+    void advanceRun(pooled_worker &worker, const run_progress &progress);
+    void sendWish();
     void orphanRuns(pooled_worker &worker);
     void endOrphans(pooled_worker &worker, const std::string &reason);
     void endSilentRuns(pooled_worker &worker);
@@ -157,6 +168,12 @@
     std::map<std::string, pooled_worker> m_workers;
     std::map<std::string, start_runs> m_orders;
     std::map<std::string, stop_runs> m_stops;
+    bool m_changed = false;
+    room_wish m_wish;
+    room_wish m_sentWish;
+    /// When tasks last waited without room.
+    steady_time m_lastWish{};
+    steady_time m_nextWish{};
 };
 
 /// Returns how the usable workers of the pool do.
--- a/src/messages/codec.cpp
+++ b/src/messages/codec.cpp
@@ -72,6 +72,8 @@
     "run_results",
     "run_results_received",
     "worker_status",
+    "room_update",
+    "room_wish",
     "known_entries",
     "routing_update",
 };
--- a/src/messages/messages.h
+++ b/src/messages/messages.h
@@ -687,6 +687,8 @@
                              run_results,
                              run_results_received,
                              worker_status,
+                             room_update,
+                             room_wish,
                              known_entries,
                              routing_update>;
 
--- a/src/messages/run_messages.h
+++ b/src/messages/run_messages.h
@@ -139,7 +139,7 @@
     }
 };
 
-/// What an agent tells the entries of its worker, at every change.
+/// What an agent tells the entries of its worker, at the beginning of a connection and whenever the worker or its state changes.
 struct worker_status {
     /// The worker takes runs: it is known, holds a lease and runs nothing unknown.
     bool ready = false;
@@ -168,6 +168,36 @@
     }
 };
 
+/// What changes all the time in an agent's worker.
+struct room_update {
+    task_shape free;
+    /// Sequence of the receiver's latest order that the free room accounts for.
+    std::uint64_t appliedOrder = 0;
+    /// Progress of the receiver's runs.
+    std::vector<run_progress> progress;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(free, appliedOrder);
+        archiveList(archive, progress);
+    }
+};
+
+/// An entry asks an agent to be told of room as soon as it becomes free.
+struct room_wish {
+    /// Thousandths of a core that the entry's waiting tasks need; 0 when none waits any more.
+    std::uint64_t milliCores = 0;
+    /// Thousandths of a core that the smallest of these tasks needs.
+    std::uint32_t smallestMilliCores = 0;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(milliCores, smallestMilliCores);
+    }
+};
+
 /// Addresses of entries that the sender believes to be alive.
 struct known_entries {
     std::vector<std::string> addresses;
--- a/src/messages/tests/codec_test.cpp
+++ b/src/messages/tests/codec_test.cpp
@@ -57,6 +57,8 @@
             run_results{4, {{7, run_outcome::done}, {8, run_outcome::rejected}}},
             run_results_received{5},
             worker_status{true, false, "worker-1", "desk", {"a", "r1"}, {4000, 4096, 0}, {500, 64, 0}, 7, {{7, 41}}},
+            room_update{{500, 64, 0}, 7, {{7, 41}}},
+            room_wish{12'000, 500},
             known_entries{{"10.0.0.1:7720"}},
             routing_update{7, "{}"}};
 }
--- a/src/runs/run_agent.cpp
+++ b/src/runs/run_agent.cpp
@@ -14,6 +14,13 @@
 /// Interval at which entries learn the progress of their runs.
 constexpr milliseconds PROGRESS_INTERVAL{100};
 
+/// Returns whether two reports differ in nothing but room.
+bool describeSameWorker(const worker_status &one, const worker_status &other)
+{
+    return one.ready == other.ready && one.draining == other.draining && one.worker == other.worker && one.service == other.service
+        && one.labels == other.labels && one.capacity == other.capacity;
+}
+
 }
 
 run_agent::run_agent(const time_source &time, lease_rules rules, worker_port &port, peer_outbox &outbox, decision_journal &journal)
@@ -22,6 +29,7 @@
     , m_outbox(outbox)
     , m_journal(journal)
     , m_supervisor(time, rules, port, *this, journal)
+    , m_announcer(time)
 {
 }
 
@@ -45,7 +53,8 @@
     session.sentResults = 0;
     m_current[entry.name] = name;
     m_journal.note("entry_connected", {{"entry", entry.name}, {"new_session", isNew ? "yes" : "no"}});
-    sendStatus(session);
+    m_announcer.add(name);
+    sendStatus(name, session);
     m_outbox.send(entry.name, ping{m_time.steadyNow().time_since_epoch().count(), 0});
 }
 
@@ -53,6 +62,7 @@
 {
     if (entry_session *session = sessionOf(entry)) {
         session->connected = false;
+        m_announcer.remove(sessionName(session->entry, session->incarnation));
         m_journal.note("entry_disconnected", {{"entry", entry}});
     }
     m_current.erase(entry);
@@ -77,6 +87,8 @@
         stopRuns(*session, *stops);
     } else if (const auto *received = std::get_if<run_results_received>(&value)) {
         acknowledge(*session, received->lastNumber);
+    } else if (const auto *wish = std::get_if<room_wish>(&value)) {
+        m_announcer.setWish(sessionName(session->entry, session->incarnation), *wish);
     }
 }
 
@@ -101,16 +113,26 @@
     if (isProgressDue) {
         m_nextProgress = now + PROGRESS_INTERVAL;
     }
+    worker_status present = m_supervisor.status();
+    const bool isWorkerSame = describeSameWorker(present, m_announced);
+    if (present.free != m_announced.free) {
+        m_announcer.noteChange();
+    }
+    m_announced = std::move(present);
+    const std::vector<std::string> due = m_announcer.due(m_announced.free.milliCores);
+    const bool isContested = m_announcer.isContested();
     for (auto &[name, session] : m_sessions) {
         if (!session.connected) {
             continue;
         }
-        sendResults(session);
-        if (m_statusChanged || isProgressDue) {
-            sendStatus(session);
+        const bool hasResults = sendResults(session);
+        const bool isDue = std::find(due.begin(), due.end(), name) != due.end();
+        if (!isWorkerSame) {
+            sendStatus(name, session);
+        } else if (isDue || (hasResults && !isContested) || (isProgressDue && hasRuns(name))) {
+            sendRoom(name, session);
         }
     }
-    m_statusChanged = false;
 }
 
 void run_agent::beginStop()
@@ -131,12 +153,6 @@
     if (found != m_sessions.end()) {
         found->second.results.push_back({sequence, outcome});
     }
-    m_statusChanged = true;
-}
-
-void run_agent::changeWorker()
-{
-    m_statusChanged = true;
 }
 
 run_supervisor &run_agent::supervisor()
@@ -176,7 +192,6 @@
             m_supervisor.start(name, orders.worker, order);
         }
     }
-    m_statusChanged = true;
 }
 
 void run_agent::stopRuns(const entry_session &session, const stop_runs &stops)
@@ -216,24 +231,37 @@
     m_supervisor.stopAll(sessionName(session.entry, session.incarnation));
 }
 
-void run_agent::sendResults(entry_session &session)
+bool run_agent::hasRuns(const std::string &session) const
+{
+    return !m_supervisor.progress(session).empty();
+}
+
+bool run_agent::sendResults(entry_session &session)
 {
     if (session.sentResults >= session.results.size()) {
-        return;
+        return false;
     }
     run_results unsent;
     unsent.firstNumber = session.firstResult + session.sentResults;
     unsent.results.assign(session.results.begin() + static_cast<std::ptrdiff_t>(session.sentResults), session.results.end());
     session.sentResults = session.results.size();
     m_outbox.send(session.entry, std::move(unsent));
+    return true;
 }
 
-void run_agent::sendStatus(const entry_session &session)
+void run_agent::sendStatus(const std::string &name, const entry_session &session)
 {
     worker_status status = m_supervisor.status();
     status.appliedOrder = session.appliedOrder;
-    status.progress = m_supervisor.progress(sessionName(session.entry, session.incarnation));
+    status.progress = m_supervisor.progress(name);
     m_outbox.send(session.entry, std::move(status));
+    m_announcer.noteTold(name);
+}
+
+void run_agent::sendRoom(const std::string &name, const entry_session &session)
+{
+    m_outbox.send(session.entry, room_update{m_announced.free, session.appliedOrder, m_supervisor.progress(name)});
+    m_announcer.noteTold(name);
 }
 
 }
--- a/src/runs/run_agent.h
+++ b/src/runs/run_agent.h
@@ -7,6 +7,7 @@
 #include "base/decision_journal.h"
 #include "fleet/peer_outbox.h"
 #include "runs/entry_session.h"
+#include "runs/room_announcer.h"
 #include "runs/run_supervisor.h"
 
 namespace azuremoor
@@ -48,7 +49,6 @@
     bool isIdle() const;
 
     void endRun(const std::string &session, std::uint64_t sequence, run_outcome outcome) override;
-    void changeWorker() override;
 
     /// Returns the part that deals with the worker.
     run_supervisor &supervisor();
@@ -65,8 +65,10 @@
     void acknowledge(entry_session &session, std::uint64_t lastNumber);
     void expireSessions();
     void endSession(entry_session &session, const std::string &reason);
-    void sendResults(entry_session &session);
-    void sendStatus(const entry_session &session);
+    bool sendResults(entry_session &session);
+    bool hasRuns(const std::string &session) const;
+    void sendStatus(const std::string &name, const entry_session &session);
+    void sendRoom(const std::string &name, const entry_session &session);
 
     const time_source &m_time;
     lease_rules m_rules;
@@ -77,7 +79,9 @@
     std::map<std::string, entry_session> m_sessions;
     /// The session of the present connection, by name of the entry.
     std::map<std::string, std::string> m_current;
-    bool m_statusChanged = false;
+    room_announcer m_announcer;
+    /// The worker as entries were told of it last.
+    worker_status m_announced;
     steady_time m_nextProgress;
 };
 
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -105,7 +105,6 @@
     if (report.draining && !m_worker->draining) {
         m_worker->draining = true;
         m_journal.note("worker_draining", {{"worker", report.worker}, {"runs", std::to_string(m_runs.size())}});
-        m_listener.changeWorker();
     }
     return true;
 }
@@ -171,7 +170,6 @@
 void run_supervisor::close()
 {
     m_closed = true;
-    m_listener.changeWorker();
 }
 
 void run_supervisor::tick()
@@ -253,7 +251,6 @@
     m_journal.note("worker_known",
                    {{"worker", report.worker}, {"service", report.service}, {"token", std::to_string(m_worker->fencingToken)}});
     renew(milliseconds(0));
-    m_listener.changeWorker();
 }
 
 void run_supervisor::loseWorker(run_outcome outcome, const std::string &reason)
@@ -267,7 +264,6 @@
     while (!m_runs.empty()) {
         end(m_runs.begin(), outcome);
     }
-    m_listener.changeWorker();
 }
 
 void run_supervisor::finishStart(const std::string &worker, const run_key &key, order_reply reply, worker_milliseconds clock)
@@ -391,7 +387,6 @@
         m_worker->isHeld = true;
         m_journal.note("worker_held", {{"worker", worker}});
     }
-    m_listener.changeWorker();
     tick();
 }
 
@@ -467,7 +462,6 @@
     while (!m_runs.empty()) {
         end(m_runs.begin(), run_outcome::lapsed);
     }
-    m_listener.changeWorker();
 }
 
 task_shape run_supervisor::usedRoom() const
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -37,9 +37,6 @@
 
     /// A run ended, or never began and cannot begin any more.
     virtual void endRun(const std::string &session, std::uint64_t sequence, run_outcome outcome) = 0;
-
-    /// Room, readiness or the worker itself changed.
-    virtual void changeWorker() = 0;
 };
 
 /**
--- a/src/runs/tests/run_agent_test.cpp
+++ b/src/runs/tests/run_agent_test.cpp
@@ -34,6 +34,11 @@
             results.push_back(*ended);
         } else if (const auto *changed = std::get_if<worker_status>(&value)) {
             status = *changed;
+            ++statuses;
+        } else if (const auto *room = std::get_if<room_update>(&value)) {
+            status.free = room->free;
+            status.appliedOrder = room->appliedOrder;
+            status.progress = room->progress;
         }
     }
 
@@ -67,7 +72,9 @@
     decision_journal journal;
     bool isEntryAlive = true;
     std::vector<run_results> results;
+    /// The worker as the entry knows it, from statuses and updates of room.
     worker_status status;
+    std::size_t statuses = 0;
     run_agent agent;
 
 private:
@@ -164,3 +171,34 @@
     CHECK(test.agent.isIdle());
     CHECK(test.worker.started.size() == 1);
 }
+
+TEST_CASE("an entry learns of its worker once, and of room as it changes")
+{
+    tested_agent test;
+    const std::size_t before = test.statuses;
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(100));
+    CHECK(test.status.free.milliCores == test.status.capacity.milliCores - 1000);
+    CHECK(test.status.appliedOrder == 1);
+    CHECK(test.status.progress.size() == 1);
+    test.worker.finish({"job.0.0.0", 1}, run_outcome::done);
+    test.run(milliseconds(100));
+    CHECK(test.status.free == test.status.capacity);
+    CHECK(test.statuses == before);
+    test.agent.supervisor().takeReport(test.worker.report(true));
+    test.run(milliseconds(25));
+    CHECK(test.status.draining);
+    CHECK(test.statuses == before + 1);
+}
+
+TEST_CASE("a result comes with the room that it leaves")
+{
+    tested_agent test;
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(100));
+    test.worker.finish({"job.0.0.0", 1}, run_outcome::done);
+    while (test.results.empty()) {
+        test.run(milliseconds(25));
+    }
+    CHECK(test.status.free == test.status.capacity);
+}
--- a/src/runs/tests/run_supervisor_test.cpp
+++ b/src/runs/tests/run_supervisor_test.cpp
@@ -32,10 +32,6 @@
         }
     }
 
-    void changeWorker() override
-    {
-    }
-
     void run(milliseconds duration)
     {
         for (milliseconds passed{0}; passed < duration; passed += TICK) {
