Trial: no job is admitted that would make another late

Change: a newcomer is refused if a job that was admitted, and can still be in time, could not be with it.

--- a/src/dispatch/admission_policy.h
+++ b/src/dispatch/admission_policy.h
@@ -1,11 +1,21 @@
 #ifndef AZUREMOOR_DISPATCH_ADMISSION_POLICY_H
 #define AZUREMOOR_DISPATCH_ADMISSION_POLICY_H
 
+#include <vector>
+
 #include "base/time_source.h"
 
 namespace azuremoor
 {
 
+/// A job that was admitted earlier, and waits behind the job that asks.
+struct waiting_job {
+    /// Work that waits at this entry up to and including the job.
+    double workUpTo = 0;
+    /// Time until its last task has to start.
+    microseconds slack{0};
+};
+
 /// The load that a job meets on arrival. Work is processor time: thousandths of a core times microseconds.
 struct admission_load {
     /// Work that waits at this entry and goes before the job.
@@ -22,6 +32,8 @@
     double ownRate = 0;
     /// Thousandths of a core that the job's tasks need to run side by side.
     double ownMilliCores = 0;
+    /// Jobs that were admitted and would have to wait longer.
+    std::vector<waiting_job> behind;
 };
 
 /// Decides whether a job can be expected to be served in time.
@@ -32,6 +44,9 @@
 
     /// Returns the time until the last task of the job can be expected to start.
     virtual microseconds expectedWait(const admission_load &load) const = 0;
+
+    /// Returns whether the job would make another one late that was admitted before it.
+    virtual bool delaysOthers(const admission_load &load) const = 0;
 };
 
 /// Expects the backlog of an entry to be worked off at the rate of late, or by the entry's even share of the workers if that is more.
@@ -39,6 +54,7 @@
 {
 public:
     microseconds expectedWait(const admission_load &load) const override;
+    bool delaysOthers(const admission_load &load) const override;
 };
 
 }
--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -337,8 +337,15 @@
     load.ownWork = job.waitingWork();
     load.ownMilliCores = job.waitingMilliCores();
     const queue_key own = keyOf(job);
-    for (auto key = m_waiting.begin(); key != m_waiting.end() && *key < own; ++key) {
-        load.workAhead += m_jobs.at(key->job).waitingWork();
+    const steady_time now = m_time.steadyNow();
+    double work = 0;
+    for (const queue_key &key : m_waiting) {
+        work += m_jobs.at(key.job).waitingWork();
+        if (key < own) {
+            load.workAhead = work;
+        } else if (key.rank == urgency::in_time_or_begun) {
+            load.behind.push_back({work, key.latestStart - now});
+        }
     }
     for (const auto &[agent, worker] : m_pool.workers()) {
         if (m_pool.isUsable(worker) && worker.status.service == job.rule.service) {
@@ -377,7 +384,9 @@
         return true;
     }
     const microseconds wait = m_admission.expectedWait(load);
-    const bool isAdmitted = m_time.steadyNow() + wait <= job.latestStart();
+    const bool isLate = m_time.steadyNow() + wait > job.latestStart();
+    const bool isAdmitted = !isLate && !m_admission.delaysOthers(load);
+    const std::string reason = isLate ? "the work that waits would make it late" : "it would make others late";
     m_journal.note(isAdmitted ? "job_admitted" : "job_refused",
                    {{"job", job.spec.id},
                     {"request", std::to_string(request)},
@@ -387,7 +396,7 @@
                     {"free_millicores", std::to_string(static_cast<std::int64_t>(load.freeMilliCores))},
                     {"capacity_millicores", std::to_string(static_cast<std::int64_t>(load.capacityMilliCores))}});
     if (!isAdmitted) {
-        return reject(answer_kind::refused_full, "the work that waits would make it late", wait);
+        return reject(answer_kind::refused_full, reason, wait);
     }
     return false;
 }
