--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -2,6 +2,7 @@
 #include <iostream>
 
 #include "ctl/configuration_commands.h"
+#include "ctl/explain_command.h"
 #include "ctl/fleet_commands.h"
 #include "ctl/job_commands.h"
 #include "ctl/load_command.h"
@@ -19,6 +20,7 @@
     std::string author = "operator";
     std::string argument;
     std::string file;
+    std::vector<std::string> logs;
     bool noWait = false;
     std::int64_t version = -1;
     std::int64_t timeoutS = 30;
@@ -94,11 +96,13 @@
         declare("cancel", "Cancel a job", [this](ctl_client &client) { return jobs(client).cancel(m_settings.argument); })
             ->add_option("job", m_settings.argument, "Identifier of the job")
             ->required();
-        declare("explain",
-                "Print where the tasks of a job are, and why",
-                [this](ctl_client &client) { return jobs(client).explain(m_settings.argument); })
-            ->add_option("job", m_settings.argument, "Identifier of the job")
-            ->required();
+        CLI::App *explain
+            = declare("explain", "Print where the tasks of a job are, and why, or what its logs tell", [this](ctl_client &client) {
+                  return m_settings.logs.empty() ? jobs(client).explain(m_settings.argument)
+                                                 : explainFromLogs(m_settings.argument, m_settings.logs);
+              });
+        explain->add_option("job", m_settings.argument, "Identifier of the job")->required();
+        explain->add_option("--logs", m_settings.logs, "Log files of the processes; without them, the entries are asked");
     }
 
     void declareConfiguration()
@@ -205,7 +209,7 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     ctl_client client(parseEntries(settings.entries));
-    if (client.entries().empty()) {
+    if (client.entries().empty() && settings.logs.empty()) {
         std::cerr << "azuremoorctl: --entry: no entry is given; use --entry or AZUREMOOR_ENTRY" << std::endl;
         return static_cast<int>(exit_status::usage);
     }
