--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -11,9 +11,6 @@
 /// Jobs with waiting tasks that one round looks at when the first ones find no room.
 constexpr std::size_t MAX_JOBS_WITHOUT_ROOM = 12;
 
-/// Waiting jobs that count in what agents are told of the need for room.
-constexpr std::size_t MAX_WISHING_JOBS = 50;
-
 /// Bounds of the time after which a refused caller is told to come back.
 constexpr microseconds SHORTEST_RETRY = milliseconds(500);
 constexpr microseconds LONGEST_RETRY = seconds(5);
@@ -189,37 +186,19 @@
         return;
     }
     m_mayPlace = false;
-    demoteLateJobs();
+    m_waiting.demoteLate(m_time.steadyNow());
     std::size_t withoutRoom = 0;
-    auto next = m_waiting.begin();
-    while (next != m_waiting.end() && withoutRoom < MAX_JOBS_WITHOUT_ROOM) {
-        active_job &job = m_jobs.at(next->job);
-        ++next;
-        if (placeTasks(job)) {
-            dequeue(job);
-        } else {
-            ++withoutRoom;
+    for (active_job *job : m_waiting.inOrder()) {
+        if (placeTasks(*job)) {
+            m_waiting.remove(job->number);
+        } else if (++withoutRoom == MAX_JOBS_WITHOUT_ROOM) {
+            break;
         }
     }
-    wishForRoom();
+    m_pool.setWish(m_waiting.neededRoom());
     m_pool.flush();
 }
 
-void job_dispatcher::wishForRoom()
-{
-    room_wish wish;
-    std::size_t looked = 0;
-    for (auto key = m_waiting.begin(); key != m_waiting.end() && key->rank == urgency::in_time_or_begun && looked < MAX_WISHING_JOBS;
-         ++key) {
-        const active_job &job = m_jobs.at(key->job);
-        wish.milliCores += static_cast<std::uint64_t>(job.waitingMilliCores());
-        const std::uint32_t smallest = job.smallestWaitingMilliCores();
-        wish.smallestMilliCores = looked == 0 ? smallest : std::min(wish.smallestMilliCores, smallest);
-        ++looked;
-    }
-    m_pool.setWish(wish);
-}
-
 void job_dispatcher::tick()
 {
     const steady_time now = m_time.steadyNow();
@@ -286,49 +265,12 @@
     return m_counters;
 }
 
-job_dispatcher::queue_key job_dispatcher::keyOf(const active_job &job)
-{
-    // What has begun is finished first: ended halfway it would be lost work.
-    const bool isLast = job.isLate && !job.mayHaveBegun();
-    return {isLast ? urgency::late : urgency::in_time_or_begun, job.latestStart(), job.number};
-}
-
 void job_dispatcher::enqueue(active_job &job)
 {
-    dequeue(job);
-    job.isLate = m_time.steadyNow() > job.latestStart();
-    const queue_key key = keyOf(job);
-    m_waiting.insert(key);
-    m_waitingKeys[job.number] = key;
+    m_waiting.add(job, m_time.steadyNow());
     m_mayPlace = true;
 }
 
-void job_dispatcher::dequeue(const active_job &job)
-{
-    const auto found = m_waitingKeys.find(job.number);
-    if (found != m_waitingKeys.end()) {
-        m_waiting.erase(found->second);
-        m_waitingKeys.erase(found);
-    }
-}
-
-void job_dispatcher::demoteLateJobs()
-{
-    const steady_time now = m_time.steadyNow();
-    std::vector<std::uint64_t> late;
-    for (const queue_key &key : m_waiting) {
-        if (key.rank != urgency::in_time_or_begun || key.latestStart >= now) {
-            break;
-        }
-        if (!m_jobs.at(key.job).mayHaveBegun()) {
-            late.push_back(key.job);
-        }
-    }
-    for (const std::uint64_t number : late) {
-        enqueue(m_jobs.at(number));
-    }
-}
-
 admission_load job_dispatcher::loadFor(const active_job &job) const
 {
     admission_load load;
@@ -336,17 +278,7 @@
     load.ownRate = m_orderedWork.perMicrosecond(m_time.steadyNow());
     load.ownWork = job.waitingWork();
     load.ownMilliCores = job.waitingMilliCores();
-    const queue_key own = keyOf(job);
-    const steady_time now = m_time.steadyNow();
-    double work = 0;
-    for (const queue_key &key : m_waiting) {
-        work += m_jobs.at(key.job).waitingWork();
-        if (key < own) {
-            load.workAhead = work;
-        } else if (key.rank == urgency::in_time_or_begun) {
-            load.behind.push_back({work, key.latestStart - now});
-        }
-    }
+    m_waiting.describeLoad(job, m_time.steadyNow(), load);
     for (const auto &[agent, worker] : m_pool.workers()) {
         if (m_pool.isUsable(worker) && worker.status.service == job.rule.service) {
             load.freeMilliCores += worker.freeRoom().milliCores;
@@ -516,7 +448,7 @@
 void job_dispatcher::finish(active_job &job, const job_answer &answer)
 {
     job.isEnding = true;
-    dequeue(job);
+    m_waiting.remove(job.number);
     for (const std::uint64_t request : job.requests) {
         m_byRequest.erase(request);
         answerOne(request, job, answer);
--- a/src/dispatch/job_dispatcher.h
+++ b/src/dispatch/job_dispatcher.h
@@ -15,6 +15,7 @@
 #include "dispatch/job_answer.h"
 #include "dispatch/placement_policy.h"
 #include "dispatch/straggler_policy.h"
+#include "dispatch/urgency_queue.h"
 #include "dispatch/worker_pool.h"
 
 namespace azuremoor
@@ -87,30 +88,13 @@
     const dispatch_counters &counters() const;
 
 private:
-    /// Who goes first among waiting jobs: those that can still meet their objective or have begun, then the rest.
-    enum class urgency : std::uint8_t {
-        in_time_or_begun,
-        late,
-    };
-    struct queue_key {
-        urgency rank = urgency::in_time_or_begun;
-        steady_time latestStart;
-        std::uint64_t job = 0;
-
-        auto operator<=>(const queue_key &) const = default;
-    };
-
-    static queue_key keyOf(const active_job &job);
     void enqueue(active_job &job);
-    void dequeue(const active_job &job);
-    void demoteLateJobs();
     admission_load loadFor(const active_job &job) const;
     bool refuseAtOnce(const active_job &job, std::uint64_t request);
     bool isHopeless(const active_job &job) const;
     void endSuccessfulRun(active_job &job, std::uint32_t task);
     void endUnsuccessfulRun(active_job &job, active_task &task, run_outcome outcome, const std::string &agent);
     bool placeTasks(active_job &job);
-    void wishForRoom();
     std::set<std::string> agentsAtLimit(const active_job &job, std::uint32_t step) const;
     void moveStragglers();
     void moveRun(pooled_worker &worker, std::uint64_t sequence, run_health health);
@@ -130,10 +114,7 @@
     std::map<std::uint64_t, active_job> m_jobs;
     std::map<std::string, std::uint64_t> m_byId;
     std::map<std::uint64_t, std::uint64_t> m_byRequest;
-    /// Jobs with waiting tasks, the most urgent first.
-    std::set<queue_key> m_waiting;
-    /// The keys under which jobs wait, by number of the job.
-    std::map<std::uint64_t, queue_key> m_waitingKeys;
+    urgency_queue m_waiting;
     std::uint64_t m_nextJob = 1;
     /// Waiting tasks may find room that they did not find before.
     bool m_mayPlace = false;
--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -662,3 +662,17 @@
     test.heartbeat();
     CHECK(test.acknowledged == std::vector<std::uint64_t>{2, 2});
 }
+
+TEST_CASE("a job that would make an admitted one late is refused, and one that can wait behind it is not")
+{
+    tested_dispatcher test;
+    test.addWorker("one", 1000);
+    test.submit(1, "running", 1, milliseconds(200));
+    // Has to start within 120 ms, and can be expected to in 100 ms.
+    test.submit(2, "admitted", 1, milliseconds(100));
+    CHECK(test.answers.empty());
+    test.submit(3, "urgent", 1, milliseconds(90));
+    REQUIRE(test.answers.contains(3));
+    CHECK(test.answers.at(3).kind == answer_kind::refused_full);
+    CHECK_FALSE(test.answers.contains(2));
+}
--- /dev/null
+++ b/src/dispatch/tests/urgency_queue_test.cpp
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+
+#include "dispatch/urgency_queue.h"
+#include "testing/virtual_time.h"
+
+using namespace azuremoor;
+using azuremoor::testing::virtual_time;
+
+namespace
+{
+
+/// Returns a job of one task with a latency objective of 100 ms beyond its estimate.
+active_job makeJob(const virtual_time &time, std::uint64_t number, milliseconds estimate, std::uint32_t milliCores = 1000)
+{
+    job_spec spec;
+    spec.id = "job" + std::to_string(number);
+    step_spec step;
+    step.count = 1;
+    step.shape = {milliCores, 64, 0};
+    step.estimate = estimate;
+    spec.steps = {step};
+    route rule;
+    rule.slackFactor = 1;
+    rule.targetLatency = milliseconds(100);
+    return {number, spec, rule, time.steadyNow(), time.steadyNow() + seconds(2)};
+}
+
+std::vector<std::uint64_t> numbersOf(const urgency_queue &queue)
+{
+    std::vector<std::uint64_t> result;
+    for (const active_job *job : queue.inOrder()) {
+        result.push_back(job->number);
+    }
+    return result;
+}
+
+}
+
+TEST_CASE("jobs go by their latest start, and what is late without having begun goes last")
+{
+    virtual_time time;
+    urgency_queue queue;
+    active_job first = makeJob(time, 1, milliseconds(10));
+    active_job begun = makeJob(time, 2, milliseconds(10));
+    begun.history.lostRuns = 1;
+    time.run(milliseconds(60));
+    active_job last = makeJob(time, 3, milliseconds(10));
+    for (active_job *job : {&last, &begun, &first}) {
+        queue.add(*job, time.steadyNow());
+    }
+    CHECK(numbersOf(queue) == std::vector<std::uint64_t>{1, 2, 3});
+    time.run(milliseconds(50));
+    queue.demoteLate(time.steadyNow());
+    CHECK(numbersOf(queue) == std::vector<std::uint64_t>{2, 3, 1});
+    CHECK(first.isLate);
+    queue.remove(2);
+    queue.remove(2);
+    CHECK(numbersOf(queue) == std::vector<std::uint64_t>{3, 1});
+}
+
+TEST_CASE("the load on a job is the work before it, and the jobs behind it with the time that they have left")
+{
+    virtual_time time;
+    urgency_queue queue;
+    active_job urgent = makeJob(time, 1, milliseconds(10));
+    time.run(milliseconds(40));
+    active_job own = makeJob(time, 2, milliseconds(10));
+    time.run(milliseconds(40));
+    active_job relaxed = makeJob(time, 3, milliseconds(10));
+    queue.add(urgent, time.steadyNow());
+    queue.add(relaxed, time.steadyNow());
+    admission_load load;
+    queue.describeLoad(own, time.steadyNow(), load);
+    CHECK(load.workAhead == urgent.waitingWork());
+    REQUIRE(load.behind.size() == 1);
+    CHECK(load.behind[0].workUpTo == urgent.waitingWork() + relaxed.waitingWork());
+    CHECK(load.behind[0].slack == milliseconds(100));
+}
+
+TEST_CASE("the room that is needed is that of jobs which can still be in time")
+{
+    virtual_time time;
+    urgency_queue queue;
+    CHECK(queue.neededRoom().milliCores == 0);
+    active_job late = makeJob(time, 1, milliseconds(10), 300);
+    queue.add(late, time.steadyNow());
+    time.run(milliseconds(200));
+    queue.demoteLate(time.steadyNow());
+    CHECK(queue.neededRoom().milliCores == 0);
+    active_job wide = makeJob(time, 2, milliseconds(10), 3000);
+    active_job narrow = makeJob(time, 3, milliseconds(10), 500);
+    queue.add(wide, time.steadyNow());
+    queue.add(narrow, time.steadyNow());
+    CHECK(queue.neededRoom().milliCores == 3500);
+    CHECK(queue.neededRoom().smallestMilliCores == 500);
+}
--- a/src/runs/tests/room_announcer_test.cpp
+++ b/src/runs/tests/room_announcer_test.cpp
@@ -28,7 +28,7 @@
     /// Tells the entry whose turn it is, and returns it.
     std::optional<std::string> tell(std::uint32_t free = FREE)
     {
-        const std::optional<std::string> entry = announcer.takeTurn(free);
+        std::optional<std::string> entry = announcer.takeTurn(free);
         if (entry) {
             announcer.noteTold(*entry);
         }
