One copy of room arithmetic, status codes, and what both daemons share

Cause: a reading of the whole change.

No change of behaviour is meant.

Ruled out: one base for the outer shape of all daemons (agent_service and entry_service go when their interface moves to the new core), and the codes of src/jobs, which has no part in transport.

--- a/src/agent/agent_service.cpp
+++ b/src/agent/agent_service.cpp
@@ -3,6 +3,7 @@
 #include "agent/announcement_json.h"
 #include "daemon/incarnation.h"
 #include "daemon/state_json.h"
+#include "transport/http_status.h"
 
 namespace azuremoor
 {
@@ -14,10 +15,6 @@
 constexpr std::size_t LOG_CONNECTIONS = 2;
 constexpr std::size_t MAX_REPORTED_ERROR = 512;
 
-constexpr int STATUS_BAD_REQUEST = 400;
-constexpr int STATUS_METHOD_NOT_ALLOWED = 405;
-constexpr int STATUS_CONFLICT = 409;
-
 task_outcome outcomeOf(const outcome_of<incoming_response> &response)
 {
     if (!response) {
--- a/src/ctl/configuration_commands.cpp
+++ b/src/ctl/configuration_commands.cpp
@@ -4,6 +4,7 @@
 
 #include "configuration/configuration.h"
 #include "ctl/text_file.h"
+#include "transport/http_status.h"
 
 namespace azuremoor
 {
@@ -15,7 +16,6 @@
 
 constexpr seconds TIMEOUT{15};
 constexpr milliseconds WAIT_INTERVAL{100};
-constexpr int STATUS_OK = 200;
 
 /// Returns the document in the file, checked as a whole; nothing, and a message, when it is none.
 std::optional<json> readDocument(const std::string &file)
--- a/src/ctl/ctl_client.cpp
+++ b/src/ctl/ctl_client.cpp
@@ -1,5 +1,7 @@
 #include "ctl/ctl_client.h"
 
+#include "transport/http_status.h"
+
 #include <iostream>
 
 namespace azuremoor
@@ -9,7 +11,6 @@
 {
 
 constexpr std::size_t MAX_CONNECTIONS = 512;
-constexpr int STATUS_CONFLICT = 409;
 
 }
 
--- a/src/ctl/fleet_commands.cpp
+++ b/src/ctl/fleet_commands.cpp
@@ -1,5 +1,7 @@
 #include "ctl/fleet_commands.h"
 
+#include "transport/http_status.h"
+
 #include <iostream>
 
 namespace azuremoor
@@ -12,7 +14,6 @@
 
 constexpr seconds TIMEOUT{10};
 constexpr seconds WATCH_INTERVAL{1};
-constexpr int STATUS_OK = 200;
 
 }
 
--- a/src/ctl/job_commands.cpp
+++ b/src/ctl/job_commands.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "ctl/text_file.h"
+#include "transport/http_status.h"
 
 namespace azuremoor
 {
@@ -16,8 +17,6 @@
 
 constexpr seconds QUERY_TIMEOUT{10};
 constexpr milliseconds FOLLOW_INTERVAL{200};
-constexpr int STATUS_OK = 200;
-constexpr int STATUS_ACCEPTED = 202;
 
 }
 
--- a/src/ctl/load_command.cpp
+++ b/src/ctl/load_command.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "base/submission_id.h"
+#include "transport/http_status.h"
 
 namespace azuremoor
 {
@@ -16,7 +17,6 @@
 constexpr seconds ANSWER_GRACE{10};
 constexpr milliseconds RETRY_INTERVAL{200};
 constexpr std::int64_t MAX_ATTEMPTS = 200;
-constexpr int STATUS_OK = 200;
 
 double toMilliseconds(microseconds value)
 {
--- a/src/daemon/platform_log.cpp
+++ b/src/daemon/platform_log.cpp
@@ -1,5 +1,7 @@
 #include "daemon/platform_log.h"
 
+#include "transport/http_status.h"
+
 #include <nlohmann/json.hpp>
 
 namespace azuremoor
@@ -9,7 +11,6 @@
 {
 
 constexpr seconds REQUEST_TIMEOUT{2};
-constexpr int STATUS_OK = 200;
 constexpr int PAGE_RECORDS = 500;
 
 std::optional<log_page> parsePage(const std::string &body, steady_time began)
--- a/src/daemon/process_frame.cpp
+++ b/src/daemon/process_frame.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include "daemon/state_json.h"
+#include "transport/http_status.h"
 
 namespace azuremoor
 {
@@ -11,15 +12,21 @@
 {
 
 constexpr milliseconds STOP_CHECK_INTERVAL{20};
-constexpr int STATUS_METHOD_NOT_ALLOWED = 405;
-constexpr int STATUS_NOT_FOUND = 404;
-constexpr int STATUS_UNAVAILABLE = 503;
 
 /// Exit status of a process whose planned stop had to cut something.
 constexpr int CUT_STATUS = 3;
 
 }
 
+bool process_body::handleOwnRequest(const http_request &)
+{
+    return false;
+}
+
+void process_body::abandonOwnRequest(std::uint64_t)
+{
+}
+
 process_frame::process_frame(const process_settings &settings, http_limits limits)
     : m_settings(settings)
     , m_log(settings.name, settings.lowestLevel(), m_time)
--- a/src/daemon/process_frame.h
+++ b/src/daemon/process_frame.h
@@ -32,11 +32,11 @@
     /// Returns why the process cannot do its work now, or an empty text.
     virtual std::string unhealthyReason() = 0;
 
-    /// Handles a request that is not common to all processes. Returns whether the path is known.
-    virtual bool handleOwnRequest(const http_request &request) = 0;
+    /// Handles a request that is not common to all processes. Returns whether the path is known; without an own interface none is.
+    virtual bool handleOwnRequest(const http_request &request);
 
     /// Notes that the client of a request that was taken hung up.
-    virtual void abandonOwnRequest(std::uint64_t id) = 0;
+    virtual void abandonOwnRequest(std::uint64_t id);
 
     /// Begins a planned stop.
     virtual void beginStop() = 0;
--- a/src/dispatch/worker_pool.cpp
+++ b/src/dispatch/worker_pool.cpp
@@ -33,20 +33,13 @@
     return *middle;
 }
 
-std::uint32_t lessOrZero(std::uint32_t value, std::uint32_t subtracted)
-{
-    return value - std::min(value, subtracted);
-}
-
 }
 
 task_shape pooled_worker::freeRoom() const
 {
     task_shape free = status.free;
     for (auto run = runs.upper_bound(status.appliedOrder); run != runs.end(); ++run) {
-        free.milliCores = lessOrZero(free.milliCores, run->second.shape.milliCores);
-        free.memoryMegabytes = lessOrZero(free.memoryMegabytes, run->second.shape.memoryMegabytes);
-        free.accelerators = lessOrZero(free.accelerators, run->second.shape.accelerators);
+        free = free.less(run->second.shape);
     }
     return free;
 }
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -5,6 +5,7 @@
 #include "entry/entry_state.h"
 #include "entry/job_json.h"
 #include "fleet/member_json.h"
+#include "transport/http_status.h"
 
 namespace azuremoor
 {
@@ -18,15 +19,6 @@
 /// Time after which an operator's change that was not read back is reported as uncertain.
 constexpr seconds CHANGE_TIMEOUT{10};
 
-constexpr int STATUS_ACCEPTED = 202;
-constexpr int STATUS_BAD_REQUEST = 400;
-constexpr int STATUS_NOT_FOUND = 404;
-constexpr int STATUS_METHOD_NOT_ALLOWED = 405;
-constexpr int STATUS_CONFLICT = 409;
-constexpr int STATUS_UNPROCESSABLE = 422;
-constexpr int STATUS_UNAVAILABLE = 503;
-constexpr int STATUS_TIMEOUT = 504;
-
 hello helloFor(const process_settings &settings, std::uint64_t incarnation)
 {
     return {settings.name, member_role::entry, incarnation, settings.dataCentre, settings.rack};
@@ -389,7 +381,7 @@
     const fleet_state &state = m_node.stream().state();
     const std::optional<record_effect> effect = state.effectOf(recordId);
     if (!effect) {
-        http_response response = problemResponse(STATUS_TIMEOUT,
+        http_response response = problemResponse(STATUS_GATEWAY_TIMEOUT,
                                                  "Not Read Back",
                                                  "the change was not read back from the log in time and may still come into force; "
                                                  "look at the history before publishing it again");
--- a/src/entry/job_json.cpp
+++ b/src/entry/job_json.cpp
@@ -7,6 +7,7 @@
 
 #include "base/submission_id.h"
 #include "configuration/selector.h"
+#include "transport/http_status.h"
 
 namespace azuremoor
 {
@@ -22,10 +23,6 @@
 constexpr double MILLI = 1000;
 constexpr std::int64_t MAX_COUNT = 100'000'000;
 
-constexpr int STATUS_ACCEPTED = 202;
-constexpr int STATUS_BAD_REQUEST = 400;
-constexpr int STATUS_NOT_FOUND = 404;
-
 [[noreturn]] void fail(const std::string &place, const std::string &reason)
 {
     throw job_error{STATUS_BAD_REQUEST, place + ": " + reason};
--- a/src/messages/job_request.h
+++ b/src/messages/job_request.h
@@ -1,9 +1,10 @@
 #ifndef AZUREMOOR_MESSAGES_JOB_REQUEST_H
 #define AZUREMOOR_MESSAGES_JOB_REQUEST_H
 
-#include "messages/bounded_archive.h"
+#include <algorithm>
 
 #include "base/verdict.h"
+#include "messages/bounded_archive.h"
 
 namespace azuremoor
 {
@@ -27,6 +28,22 @@
         return milliCores <= other.milliCores && memoryMegabytes <= other.memoryMegabytes && accelerators <= other.accelerators;
     }
 
+    task_shape &operator+=(const task_shape &other)
+    {
+        milliCores += other.milliCores;
+        memoryMegabytes += other.memoryMegabytes;
+        accelerators += other.accelerators;
+        return *this;
+    }
+
+    /// Returns what is left of this shape without the other: 0 in each dimension in which the other is larger.
+    task_shape less(const task_shape &other) const
+    {
+        return {milliCores - std::min(milliCores, other.milliCores),
+                memoryMegabytes - std::min(memoryMegabytes, other.memoryMegabytes),
+                accelerators - std::min(accelerators, other.accelerators)};
+    }
+
     template<typename Archive>
     void serialize(Archive &archive)
     {
--- a/src/runs/run_agent.cpp
+++ b/src/runs/run_agent.cpp
@@ -96,8 +96,9 @@
     for (const auto &[entry, name] : m_current) {
         m_outbox.send(entry, ping{now, 0});
         // What the entry has to learn now and then goes along, so that it is woken once.
-        if (m_announcer.isOutOfDate(name) || hasRuns(name)) {
-            sendRoom(name, m_sessions.at(name));
+        std::vector<run_progress> progress = m_supervisor.progress(name);
+        if (m_announcer.isOutOfDate(name) || !progress.empty()) {
+            sendRoom(name, m_sessions.at(name), std::move(progress));
         }
     }
 }
@@ -123,7 +124,7 @@
         if (isOtherWorker) {
             sendStatus(name, session);
         } else if (isMistaken || name == wishing || (hasResults && !isContested)) {
-            sendRoom(name, session);
+            sendRoom(name, session, m_supervisor.progress(name));
         }
     }
 }
@@ -235,11 +236,6 @@
     return isOther;
 }
 
-bool run_agent::hasRuns(const std::string &session) const
-{
-    return !m_supervisor.progress(session).empty();
-}
-
 bool run_agent::hasUnsent(const entry_session &session, run_outcome outcome)
 {
     const auto firstUnsent = session.results.begin() + static_cast<std::ptrdiff_t>(std::min(session.sentResults, session.results.size()));
@@ -268,9 +264,9 @@
     m_announcer.noteTold(name);
 }
 
-void run_agent::sendRoom(const std::string &name, const entry_session &session)
+void run_agent::sendRoom(const std::string &name, const entry_session &session, std::vector<run_progress> progress)
 {
-    m_outbox.send(session.entry, room_update{m_announced.free, session.appliedOrder, m_supervisor.progress(name)});
+    m_outbox.send(session.entry, room_update{m_announced.free, session.appliedOrder, std::move(progress)});
     m_announcer.noteTold(name);
 }
 
--- a/src/runs/run_agent.h
+++ b/src/runs/run_agent.h
@@ -67,10 +67,9 @@
     void endSession(entry_session &session, const std::string &reason);
     bool sendResults(entry_session &session);
     bool noticeChanges();
-    bool hasRuns(const std::string &session) const;
     static bool hasUnsent(const entry_session &session, run_outcome outcome);
     void sendStatus(const std::string &name, const entry_session &session);
-    void sendRoom(const std::string &name, const entry_session &session);
+    void sendRoom(const std::string &name, const entry_session &session, std::vector<run_progress> progress);
 
     const time_source &m_time;
     lease_rules m_rules;
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -124,9 +124,7 @@
         return;
     }
     task_shape used = usedRoom();
-    used.milliCores += order.shape.milliCores;
-    used.memoryMegabytes += order.shape.memoryMegabytes;
-    used.accelerators += order.shape.accelerators;
+    used += order.shape;
     if (!used.fitsInto(m_worker->report.capacity)) {
         refuse(run_outcome::no_room);
         return;
@@ -207,10 +205,7 @@
     result.service = m_worker->report.service;
     result.labels = m_worker->report.labels;
     result.capacity = m_worker->report.capacity;
-    const task_shape used = usedRoom();
-    result.free.milliCores = result.capacity.milliCores - std::min(result.capacity.milliCores, used.milliCores);
-    result.free.memoryMegabytes = result.capacity.memoryMegabytes - std::min(result.capacity.memoryMegabytes, used.memoryMegabytes);
-    result.free.accelerators = result.capacity.accelerators - std::min(result.capacity.accelerators, used.accelerators);
+    result.free = result.capacity.less(usedRoom());
     return result;
 }
 
@@ -469,9 +464,7 @@
 {
     task_shape used;
     for (const auto &[key, run] : m_runs) {
-        used.milliCores += run.shape.milliCores;
-        used.memoryMegabytes += run.shape.memoryMegabytes;
-        used.accelerators += run.shape.accelerators;
+        used += run.shape;
     }
     return used;
 }
--- a/src/standin/log_standin.cpp
+++ b/src/standin/log_standin.cpp
@@ -1,5 +1,7 @@
 #include "standin/log_standin.h"
 
+#include "transport/http_status.h"
+
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
@@ -12,9 +14,6 @@
 
 using nlohmann::json;
 
-constexpr int STATUS_BAD_REQUEST = 400;
-constexpr int STATUS_NOT_FOUND = 404;
-constexpr int STATUS_UNAVAILABLE = 503;
 constexpr std::uint64_t MAX_PAGE_RECORDS = 1000;
 constexpr std::size_t MAX_RECORD_BYTES = 16 * 1024 * 1024;
 
--- a/src/standin/upstream_standin.cpp
+++ b/src/standin/upstream_standin.cpp
@@ -1,5 +1,7 @@
 #include "standin/upstream_standin.h"
 
+#include "transport/http_status.h"
+
 #include <nlohmann/json.hpp>
 
 namespace azuremoor
@@ -12,8 +14,6 @@
 
 constexpr milliseconds ANNOUNCEMENT_INTERVAL{500};
 constexpr std::size_t MAX_BODY_BYTES = 1024 * 1024;
-constexpr int STATUS_NOT_FOUND = 404;
-constexpr int STATUS_FAILED = 500;
 
 }
 
--- a/src/workers/capacity_account.cpp
+++ b/src/workers/capacity_account.cpp
@@ -29,17 +29,13 @@
 void capacity_account::occupy(const task_shape &shape)
 {
     ++m_usedSlots;
-    m_used.milliCores += shape.milliCores;
-    m_used.memoryMegabytes += shape.memoryMegabytes;
-    m_used.accelerators += shape.accelerators;
+    m_used += shape;
 }
 
 void capacity_account::release(const task_shape &shape)
 {
     --m_usedSlots;
-    m_used.milliCores -= shape.milliCores;
-    m_used.memoryMegabytes -= shape.memoryMegabytes;
-    m_used.accelerators -= shape.accelerators;
+    m_used = m_used.less(shape);
 }
 
 std::uint32_t capacity_account::freeSlots() const
