Entries fetch the configuration in pieces, once, and exchange fewer messages

Cause: an entry sent the whole document (282 kB) to each entry whose heartbeat carried an older version, again with each heartbeat until the other had it in force, whether or not the store delivered it as well. The document filled the links of 2 Mbit/s, heartbeats waited behind it, leases ended, and each copy was parsed before its version was looked at. Between entries each pair also exchanged a heartbeat and an answer in each direction every 100 ms, and each new connection of an entry sent the list of all addresses to all peers, which grows with the cube of the number of entries.

Change: `routing_replica` keeps the document. New addresses are passed on together, once for each heartbeat interval.

--- a/src/dispatch/entry_peer_handler.cpp
+++ b/src/dispatch/entry_peer_handler.cpp
@@ -1,20 +1,39 @@
 #include "dispatch/entry_peer_handler.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace azuremoor
 {
 
+namespace
+{
+
+/// Most heartbeats to entries in one interval, unless more are needed to reach each within MAX_ENTRY_HEARTBEAT_ROUNDS.
+constexpr std::size_t ENTRY_HEARTBEATS = 10;
+
+/// Heartbeat intervals after which the next peer gets all addresses, in case it has forgotten one that it could not reach for a while.
+constexpr int ADDRESSES_ROUNDS = 5;
+
+/// Returns the name after the given one, or the first at the end. The names must not be empty.
+std::string nextInTurn(const std::set<std::string> &names, const std::string &last)
+{
+    const auto next = names.upper_bound(last);
+    return next == names.end() ? *names.begin() : *next;
+}
+
+}
+
 entry_peer_handler::entry_peer_handler(const time_source &time,
                                        entry_directory &directory,
-                                       route_table &routes,
-                                       const routing_reader &reader,
+                                       routing_replica &routing,
                                        worker_pool &pool,
                                        job_dispatcher &dispatcher,
                                        peer_outbox &outbox,
                                        decision_journal &journal)
     : m_time(time)
     , m_directory(directory)
-    , m_routes(routes)
-    , m_reader(reader)
+    , m_routing(routing)
     , m_pool(pool)
     , m_dispatcher(dispatcher)
     , m_outbox(outbox)
@@ -24,42 +43,36 @@
 
 void entry_peer_handler::connectPeer(const hello &peer)
 {
+    m_peers.insert(peer.name);
+    m_outbox.send(peer.name, known_entries{m_directory.reachableAddresses()});
     if (peer.role == member_role::agent) {
-        m_agents.insert(peer.name);
         m_pool.connectAgent(peer);
-        m_outbox.send(peer.name, known_entries{m_directory.reachableAddresses()});
         return;
     }
     m_entries.insert(peer.name);
     m_directory.setConnected(peer.name, true);
     m_dispatcher.setEntryCount(m_entries.size() + 1);
     m_journal.note("entry_connected", {{"entry", peer.name}, {"entries", std::to_string(m_entries.size() + 1)}});
-    broadcastReachableEntries();
+    m_newAddresses.push_back(peer.name);
 }
 
 void entry_peer_handler::disconnectPeer(const std::string &peer)
 {
-    if (m_agents.erase(peer) > 0) {
+    m_peers.erase(peer);
+    if (m_entries.erase(peer) == 0) {
         m_pool.disconnectAgent(peer);
         return;
     }
-    if (m_entries.erase(peer) > 0) {
-        m_directory.setConnected(peer, false);
-        m_dispatcher.setEntryCount(m_entries.size() + 1);
-        m_journal.note("entry_disconnected", {{"entry", peer}, {"entries", std::to_string(m_entries.size() + 1)}});
-    }
+    m_directory.setConnected(peer, false);
+    m_routing.disconnectEntry(peer);
+    m_dispatcher.setEntryCount(m_entries.size() + 1);
+    m_journal.note("entry_disconnected", {{"entry", peer}, {"entries", std::to_string(m_entries.size() + 1)}});
 }
 
 void entry_peer_handler::handleMessage(const std::string &peer, const message &value)
 {
     if (const auto *heartbeat = std::get_if<ping>(&value)) {
-        m_pool.recordHeartbeat(peer);
-        // The offset field carries the routing version. The entry reads no control stream, suspects no entries and is not leaving.
-        m_outbox.send(peer, pong{heartbeat->sentMicroseconds, m_routes.version(), -1, {}, false});
-        if (m_entries.contains(peer)) {
-            // Entries send their routing version as the offset.
-            sendRoutingIfOutdated(peer, heartbeat->controlOffset);
-        }
+        handleHeartbeat(peer, *heartbeat);
     } else if (const auto *status = std::get_if<worker_status>(&value)) {
         m_pool.updateStatus(peer, *status);
     } else if (const auto *capacityUpdate = std::get_if<room_update>(&value)) {
@@ -68,59 +81,67 @@
         m_pool.receiveResults(peer, *results);
     } else if (const auto *known = std::get_if<known_entries>(&value)) {
         m_directory.addAddresses(known->addresses);
-    } else if (const auto *update = std::get_if<routing_update>(&value)) {
-        applyRoutingDocument(update->document, peer);
+    } else if (const auto *request = std::get_if<routing_request>(&value)) {
+        m_routing.handleRequest(peer, *request);
+    } else if (const auto *piece = std::get_if<routing_piece>(&value)) {
+        m_routing.handlePiece(peer, *piece);
     }
 }
 
-void entry_peer_handler::applyRoutingDocument(const std::string &document, const std::string &source)
+void entry_peer_handler::sendHeartbeats()
 {
-    const std::optional<routing> parsed = m_reader.read(document);
-    if (!parsed) {
-        m_journal.note("routing_unreadable", {{"source", source}, {"bytes", std::to_string(document.size())}});
-        return;
-    }
-    const std::uint64_t previousVersion = m_routes.version();
-    if (!m_routes.replace(*parsed)) {
-        return;
-    }
-    m_document = document;
-    m_journal.note("routing_in_force",
-                   {{"version", std::to_string(m_routes.version())},
-                    {"before", std::to_string(previousVersion)},
-                    {"source", source},
-                    {"routes", std::to_string(m_routes.size())}});
+    sendEntryHeartbeats();
+    sendNewAddresses();
+    sendAddressesInTurn();
 }
 
-void entry_peer_handler::sendHeartbeats()
+const std::set<std::string> &entry_peer_handler::entries() const
 {
-    const std::int64_t now = m_time.steadyNow().time_since_epoch().count();
-    for (const std::string &entry : m_entries) {
-        m_outbox.send(entry, ping{now, m_routes.version()});
+    return m_entries;
+}
+
+void entry_peer_handler::handleHeartbeat(const std::string &peer, const ping &heartbeat)
+{
+    if (m_entries.contains(peer)) {
+        // Entries send their routing version as the offset.
+        m_routing.recordPeerVersion(peer, heartbeat.controlOffset);
+        return;
     }
+    m_pool.recordHeartbeat(peer);
+    // The entry reads no control stream, suspects no entries and is not leaving.
+    m_outbox.send(peer, pong{heartbeat.sentMicroseconds, 0, -1, {}, false});
 }
 
-const std::set<std::string> &entry_peer_handler::entries() const
+void entry_peer_handler::sendEntryHeartbeats()
 {
-    return m_entries;
+    const std::size_t shareOfRound = (m_entries.size() + MAX_ENTRY_HEARTBEAT_ROUNDS - 1) / MAX_ENTRY_HEARTBEAT_ROUNDS;
+    const std::size_t count = std::min(m_entries.size(), std::max(ENTRY_HEARTBEATS, shareOfRound));
+    const std::int64_t now = m_time.steadyNow().time_since_epoch().count();
+    for (std::size_t sent = 0; sent < count; ++sent) {
+        m_lastHeartbeatEntry = nextInTurn(m_entries, m_lastHeartbeatEntry);
+        m_outbox.send(m_lastHeartbeatEntry, ping{now, m_routing.version()});
+    }
 }
 
-void entry_peer_handler::broadcastReachableEntries()
+void entry_peer_handler::sendNewAddresses()
 {
-    const known_entries known{m_directory.reachableAddresses()};
-    for (const std::string &agent : m_agents) {
-        m_outbox.send(agent, known);
+    if (m_newAddresses.empty()) {
+        return;
     }
-    for (const std::string &entry : m_entries) {
-        m_outbox.send(entry, known);
+    const known_entries known{std::exchange(m_newAddresses, {})};
+    for (const std::string &peer : m_peers) {
+        m_outbox.send(peer, known);
     }
 }
 
-void entry_peer_handler::sendRoutingIfOutdated(const std::string &peer, std::uint64_t version)
+void entry_peer_handler::sendAddressesInTurn()
 {
-    if (version < m_routes.version()) {
-        m_outbox.send(peer, routing_update{m_routes.version(), m_document});
+    if (++m_roundsSinceAddresses < ADDRESSES_ROUNDS || m_peers.empty()) {
+        return;
     }
+    m_roundsSinceAddresses = 0;
+    m_lastAddressesPeer = nextInTurn(m_peers, m_lastAddressesPeer);
+    m_outbox.send(m_lastAddressesPeer, known_entries{m_directory.reachableAddresses()});
 }
 
 }
--- a/src/dispatch/entry_peer_handler.h
+++ b/src/dispatch/entry_peer_handler.h
@@ -1,41 +1,36 @@
 #ifndef AZUREMOOR_DISPATCH_ENTRY_PEER_HANDLER_H
 #define AZUREMOOR_DISPATCH_ENTRY_PEER_HANDLER_H
 
-#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "dispatch/entry_directory.h"
 #include "dispatch/job_dispatcher.h"
-#include "dispatch/route_table.h"
+#include "dispatch/routing_replica.h"
 
 namespace azuremoor
 {
 
-/// Parses routing configuration documents. Each platform that the fleet runs on has its own document format.
-class routing_reader
-{
-public:
-    virtual ~routing_reader() = default;
-
-    /// Returns the routing configuration, or nothing when the document is malformed.
-    virtual std::optional<routing> read(std::string_view document) const = 0;
-};
+/// Most heartbeat intervals between two heartbeats of an entry to another one.
+constexpr std::size_t MAX_ENTRY_HEARTBEAT_ROUNDS = 8;
 
 /**
  * Handles an entry's connections to agents and other entries.
  *
- * It answers heartbeats, passes messages on workers and runs to the worker pool, and distributes the routing configuration and the
- * addresses of entries. An entry must introduce itself under its address, which is its key in the directory. The objects that the
- * constructor takes must outlive it.
+ * It answers heartbeats of agents, passes messages on workers and runs to the worker pool and those on the routing configuration to its
+ * replica, and passes on the addresses of entries. An entry must introduce itself under its address, which is its key in the directory.
+ * The objects that the constructor takes must outlive it.
+ *
+ * Each entry is connected to all others, so what they exchange grows with their number. Heartbeats between entries carry the routing
+ * version only; they go to a few entries at a time, in turns, and get no answer. New addresses are collected and passed on together.
  */
 class entry_peer_handler
 {
 public:
     entry_peer_handler(const time_source &time,
                        entry_directory &directory,
-                       route_table &routes,
-                       const routing_reader &reader,
+                       routing_replica &routing,
                        worker_pool &pool,
                        job_dispatcher &dispatcher,
                        peer_outbox &outbox,
@@ -50,32 +45,37 @@
     /// Handles a message of a connected peer. Kinds of messages that an entry does not expect are ignored.
     void handleMessage(const std::string &peer, const message &value);
 
-    /// Puts the routing configuration in force if it is newer than the current one. A malformed document is recorded in the journal and
-    /// otherwise ignored. The source, for the journal, is the peer's name, or `store` for the platform's store.
-    void applyRoutingDocument(const std::string &document, const std::string &source);
-
-    /// Sends a heartbeat to each connected entry. Must be called once per heartbeat interval.
+    /// Sends heartbeats to the connected entries whose turn it is, and new addresses to all peers. Must be called once per heartbeat
+    /// interval. Each entry gets a heartbeat within `MAX_ENTRY_HEARTBEAT_ROUNDS` calls.
     void sendHeartbeats();
 
     /// Returns the names of the connected entries.
     const std::set<std::string> &entries() const;
 
 private:
-    void broadcastReachableEntries();
-    void sendRoutingIfOutdated(const std::string &peer, std::uint64_t version);
+    void handleHeartbeat(const std::string &peer, const ping &heartbeat);
+    void sendEntryHeartbeats();
+    void sendNewAddresses();
+    void sendAddressesInTurn();
 
     const time_source &m_time;
     entry_directory &m_directory;
-    route_table &m_routes;
-    const routing_reader &m_reader;
+    routing_replica &m_routing;
     worker_pool &m_pool;
     job_dispatcher &m_dispatcher;
     peer_outbox &m_outbox;
     decision_journal &m_journal;
     std::set<std::string> m_entries;
-    std::set<std::string> m_agents;
-    /// Document of the routing configuration in force, for entries whose version is older.
-    std::string m_document;
+    /// Names of all connected peers.
+    std::set<std::string> m_peers;
+    /// Entry that got the latest heartbeat; the next one by name is next.
+    std::string m_lastHeartbeatEntry;
+    /// Addresses that were reached since new addresses were last passed on.
+    std::vector<std::string> m_newAddresses;
+    /// Calls of sendHeartbeats() since a peer last got all addresses.
+    int m_roundsSinceAddresses = 0;
+    /// Peer that got all addresses last.
+    std::string m_lastAddressesPeer;
 };
 
 }
--- a/src/dispatch/tests/dispatch_history.cpp
+++ b/src/dispatch/tests/dispatch_history.cpp
@@ -83,7 +83,8 @@
         , m_pool(history.m_time, agentTimeouts(history.m_settings), *this, m_journal)
         , m_placement(history.m_time, "dc", 1, incarnation)
         , dispatcher(history.m_time, m_pool, m_placement, m_admission, m_stragglers, *this, m_journal)
-        , peerHandler(history.m_time, m_directory, m_routes, m_reader, m_pool, dispatcher, *this, m_journal)
+        , m_routing(history.m_time, m_routes, m_reader, *this, m_journal, incarnation)
+        , peerHandler(history.m_time, m_directory, m_routing, m_pool, dispatcher, *this, m_journal)
     {
         m_journal.setListener(history.m_settings.isTraced ? &m_printer : nullptr);
         m_pool.setListener(dispatcher);
@@ -152,6 +153,11 @@
 
 public:
     job_dispatcher dispatcher;
+
+private:
+    routing_replica m_routing;
+
+public:
     entry_peer_handler peerHandler;
 };
 
--- a/src/messages/codec.cpp
+++ b/src/messages/codec.cpp
@@ -77,7 +77,8 @@
     "room_update",
     "room_wish",
     "known_entries",
-    "routing_update",
+    "routing_request",
+    "routing_piece",
 };
 static_assert(MESSAGE_NAMES.size() == std::variant_size_v<message>);
 
--- a/src/messages/messages.h
+++ b/src/messages/messages.h
@@ -718,7 +718,8 @@
                              room_update,
                              room_wish,
                              known_entries,
-                             routing_update>;
+                             routing_request,
+                             routing_piece>;
 
 /// Returns the name of the message type as it appears in metrics and logs.
 std::string_view messageName(const message &value);
--- a/src/messages/run_messages.h
+++ b/src/messages/run_messages.h
@@ -214,16 +214,38 @@
     }
 };
 
-/// The routing configuration from the platform's store.
-struct routing_update {
+/// Asks an entry for a piece of the document that holds the routing configuration.
+struct routing_request {
+    /// Version of the configuration.
     std::uint64_t version = 0;
-    std::string document;
+    /// Position of the piece in the document, in bytes.
+    std::uint64_t offset = 0;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(version);
-        archiveText<4 * 1024 * 1024>(archive, document);
+        archive(version, offset);
+    }
+};
+
+/// Maximum size of a piece of the routing configuration, in bytes.
+constexpr std::size_t MAX_ROUTING_PIECE_BYTES = 64 * 1024;
+
+/// A piece of the document that holds the routing configuration from the platform's store.
+struct routing_piece {
+    /// Version of the configuration: the one that was requested, or a newer one from its beginning.
+    std::uint64_t version = 0;
+    /// Size of the whole document in bytes.
+    std::uint64_t documentBytes = 0;
+    /// Position of the piece in the document, in bytes.
+    std::uint64_t offset = 0;
+    std::string bytes;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, documentBytes, offset);
+        archiveText<MAX_ROUTING_PIECE_BYTES>(archive, bytes);
     }
 };
 
--- a/src/messages/tests/codec_test.cpp
+++ b/src/messages/tests/codec_test.cpp
@@ -61,7 +61,8 @@
             room_update{{500, 64, 0}, 7, {{7, 41}}},
             room_wish{12'000, 500},
             known_entries{{"10.0.0.1:7720"}},
-            routing_update{7, "{}"}};
+            routing_request{7, 8192},
+            routing_piece{7, 2, 0, "{}"}};
 }
 
 }
--- a/src/transport/peer_mesh.cpp
+++ b/src/transport/peer_mesh.cpp
@@ -152,6 +152,14 @@
     sendOn(*found->second, value);
 }
 
+void peer_mesh::setSilenceTimeout(const std::string &peer, milliseconds timeout)
+{
+    const auto found = m_byName.find(peer);
+    if (found != m_byName.end()) {
+        found->second->setTimeouts(toTimeval(timeout), toTimeval(timeout));
+    }
+}
+
 void peer_mesh::reset(const std::string &peer)
 {
     const auto found = m_byName.find(peer);
--- a/src/transport/peer_mesh.h
+++ b/src/transport/peer_mesh.h
@@ -86,6 +86,9 @@
 
     void send(const std::string &peer, message value) override;
 
+    /// Sets the time without a message after which the present connection to the peer is closed. Ignored without a connection.
+    void setSilenceTimeout(const std::string &peer, milliseconds timeout);
+
     /// Closes the connection to the peer, which is made again if the peer is a target.
     void reset(const std::string &peer);
 
