Agents connect to 16 entries, chosen by rendezvous hashing, instead of to all

What callers saw: nothing yet; this is the part of the load that grows with the fleet. With 55 entries and 240 workers every agent kept 55 connections and exchanged a heartbeat on each every 100 ms: 2,400 heartbeats a second at every entry, most of which have 0.12 of a processor, before the first job.

Change: `entry_subset` ranks all entries by a hash of both names and takes the first 16. An agent that knows 16 entries or fewer takes all, as before. An entry that cannot be reached for a second is replaced by the next one; once it is back, the replacement is surplus: its entry is told that the worker drains, the runs there end, and then the connection is closed. An entry counts at most 16 entries as sharing its workers.

--- a/src/dispatch/entry_directory.cpp
+++ b/src/dispatch/entry_directory.cpp
@@ -50,11 +50,11 @@
     return removed > 0;
 }
 
-std::vector<std::string> entry_directory::connectionTargets() const
+std::vector<entry_contact> entry_directory::contacts() const
 {
-    std::vector<std::string> result;
+    std::vector<entry_contact> result;
     for (const auto &[address, entry] : m_entries) {
-        result.push_back(address);
+        result.push_back({address, entry.isConnected, entry.lastChangeAt});
     }
     return result;
 }
--- a/src/dispatch/entry_directory.h
+++ b/src/dispatch/entry_directory.h
@@ -11,6 +11,14 @@
 namespace azuremoor
 {
 
+/// What a directory knows of one entry.
+struct entry_contact {
+    std::string address;
+    bool isConnected = false;
+    /// When the address was added, or its connection was made or lost.
+    steady_time lastChangeAt;
+};
+
 /**
  * The addresses of entries that a process knows from its settings, the addresses that entries write to the platform's store, and other
  * processes.
@@ -33,8 +41,8 @@
     /// Removes the addresses that have been without a connection for too long. Returns whether at least one was removed.
     bool removeExpired();
 
-    /// Returns the addresses to which this process should keep connections.
-    std::vector<std::string> connectionTargets() const;
+    /// Returns all addresses.
+    std::vector<entry_contact> contacts() const;
 
     /// Returns the addresses with a connection, and this process's own if it is an entry.
     std::vector<std::string> reachableAddresses() const;
--- a/src/dispatch/entry_peer_handler.cpp
+++ b/src/dispatch/entry_peer_handler.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "dispatch/entry_subset.h"
+
 namespace azuremoor
 {
 
@@ -51,7 +53,7 @@
     }
     m_entries.insert(peer.name);
     m_directory.setConnected(peer.name, true);
-    m_dispatcher.setEntryCount(m_entries.size() + 1);
+    updateEntryCount();
     m_journal.note("entry_connected", {{"entry", peer.name}, {"entries", std::to_string(m_entries.size() + 1)}});
     m_newAddresses.push_back(peer.name);
 }
@@ -65,7 +67,7 @@
     }
     m_directory.setConnected(peer, false);
     m_routing.disconnectEntry(peer);
-    m_dispatcher.setEntryCount(m_entries.size() + 1);
+    updateEntryCount();
     m_journal.note("entry_disconnected", {{"entry", peer}, {"entries", std::to_string(m_entries.size() + 1)}});
 }
 
@@ -95,6 +97,12 @@
     sendAddressesInTurn();
 }
 
+void entry_peer_handler::updateEntryCount()
+{
+    // A worker takes orders of a part of the entries only.
+    m_dispatcher.setEntryCount(std::min(m_entries.size() + 1, ENTRIES_PER_AGENT));
+}
+
 const std::set<std::string> &entry_peer_handler::entries() const
 {
     return m_entries;
--- a/src/dispatch/entry_peer_handler.h
+++ b/src/dispatch/entry_peer_handler.h
@@ -54,6 +54,7 @@
 
 private:
     void handleHeartbeat(const std::string &peer, const ping &heartbeat);
+    void updateEntryCount();
     void sendEntryHeartbeats();
     void sendNewAddresses();
     void sendAddressesInTurn();
--- a/src/dispatch/tests/route_table_test.cpp
+++ b/src/dispatch/tests/route_table_test.cpp
@@ -20,6 +20,20 @@
 
 }
 
+namespace
+{
+
+std::vector<std::string> addressesOf(const entry_directory &directory)
+{
+    std::vector<std::string> result;
+    for (const entry_contact &contact : directory.contacts()) {
+        result.push_back(contact.address);
+    }
+    return result;
+}
+
+}
+
 TEST_CASE("the route with the longest matching prefix of the host is found")
 {
     route_table table;
@@ -46,7 +60,7 @@
     testing::virtual_time time;
     const std::vector<std::string> seeds = {"10.0.0.1:1", "10.0.0.2:1"};
     entry_directory directory(time, "10.0.0.1:1", seeds);
-    CHECK(directory.connectionTargets() == std::vector<std::string>{"10.0.0.2:1"});
+    CHECK(addressesOf(directory) == std::vector<std::string>{"10.0.0.2:1"});
     const std::vector<std::string> heard = {"10.0.0.3:1"};
     CHECK(directory.addAddresses(heard));
     CHECK_FALSE(directory.addAddresses(heard));
@@ -56,5 +70,5 @@
     directory.setConnected("10.0.0.3:1", false);
     time.run(seconds(11));
     CHECK(directory.removeExpired());
-    CHECK(directory.connectionTargets() == std::vector<std::string>{"10.0.0.2:1"});
+    CHECK(addressesOf(directory) == std::vector<std::string>{"10.0.0.2:1"});
 }
--- a/src/runs/entry_session.h
+++ b/src/runs/entry_session.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 
 #include "base/time_source.h"
@@ -21,6 +22,8 @@
     steady_time leaseEnd;
     /// The session has no valid lease. Its runs were stopped, and its orders are refused until the entry answers a heartbeat.
     bool isExpired = false;
+    /// When the connection became surplus; nothing while it is needed. The entry is told that the worker drains, so that it orders no more.
+    std::optional<steady_time> surplusSince;
     /// Highest sequence of the orders that were processed, whether started or refused.
     std::uint64_t appliedOrder = 0;
     /// Number of the first unacknowledged result, which is the front of `results`.
--- a/src/runs/run_agent.cpp
+++ b/src/runs/run_agent.cpp
@@ -11,6 +11,9 @@
 /// Time after the end of its lease for which a disconnected session is kept, so that its results can still be delivered.
 constexpr microseconds SESSION_RETENTION = seconds(20);
 
+/// Time after which an entry has certainly learned that a connection is surplus, and its last orders have arrived.
+constexpr microseconds SURPLUS_NOTICE = seconds(1);
+
 /// Returns whether two statuses differ at most in free capacity, applied order and progress.
 bool equalExceptFreeCapacity(const worker_status &one, const worker_status &other)
 {
@@ -47,6 +50,7 @@
         session.isExpired = true;
     }
     session.isConnected = true;
+    session.surplusSince.reset();
     session.sentResultCount = 0;
     m_currentSessions[entry.name] = sessionName;
     m_journal.note("entry_connected", {{"entry", entry.name}, {"new_session", isNew ? "yes" : "no"}});
@@ -89,6 +93,27 @@
     }
 }
 
+void run_agent::setSurplusEntries(const std::set<std::string> &entries)
+{
+    for (const auto &[entry, sessionName] : m_currentSessions) {
+        entry_session &session = m_sessions.at(sessionName);
+        const bool isSurplus = entries.contains(entry);
+        if (isSurplus == session.surplusSince.has_value()) {
+            continue;
+        }
+        session.surplusSince = isSurplus ? std::optional(m_time.steadyNow()) : std::nullopt;
+        m_journal.note("entry_surplus", {{"entry", entry}, {"surplus", isSurplus ? "yes" : "no"}});
+        sendStatus(sessionName, session);
+    }
+}
+
+bool run_agent::canDisconnect(const std::string &entry) const
+{
+    const entry_session *session = findSession(entry);
+    return session != nullptr && session->surplusSince && m_time.steadyNow() >= *session->surplusSince + SURPLUS_NOTICE
+        && session->results.empty() && m_supervisor.runCount(m_currentSessions.at(entry)) == 0;
+}
+
 void run_agent::sendHeartbeats()
 {
     flush();
@@ -175,6 +200,12 @@
     return found == m_currentSessions.end() ? nullptr : &m_sessions.at(found->second);
 }
 
+const entry_session *run_agent::findSession(const std::string &entry) const
+{
+    const auto found = m_currentSessions.find(entry);
+    return found == m_currentSessions.end() ? nullptr : &m_sessions.at(found->second);
+}
+
 void run_agent::startRuns(entry_session &session, const start_runs &orders)
 {
     const std::string sessionName = makeSessionName(session.entry, session.incarnation);
@@ -259,6 +290,7 @@
 void run_agent::sendStatus(const std::string &sessionName, const entry_session &session)
 {
     worker_status status = m_supervisor.status();
+    status.draining = status.draining || session.surplusSince;
     status.appliedOrder = session.appliedOrder;
     status.progress = m_supervisor.progress(sessionName);
     m_outbox.send(session.entry, std::move(status));
--- a/src/runs/run_agent.h
+++ b/src/runs/run_agent.h
@@ -2,6 +2,7 @@
 #define AZUREMOOR_RUNS_RUN_AGENT_H
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "base/decision_journal.h"
@@ -36,6 +37,14 @@
     /// Handles a message of an entry. Ignores entries that are not connected and messages that do not concern agents.
     void handleMessage(const std::string &entry, const message &value);
 
+    /// Sets the connected entries whose connections are not needed any more. They are told that the worker drains, and its runs for them go
+    /// on to their end.
+    void setSurplusEntries(const std::set<std::string> &entries);
+
+    /// Returns whether the connection to the entry can be closed: it has been surplus for so long that the entry orders nothing more, and
+    /// no run or result of the entry is left.
+    bool canDisconnect(const std::string &entry) const;
+
     /// Sends a heartbeat and pending updates to each connected entry. Must be called once per heartbeat interval.
     void sendHeartbeats();
 
@@ -65,6 +74,7 @@
     static std::string makeSessionName(const std::string &entry, std::uint64_t incarnation);
     /// Returns the session of the entry's current connection, or null if the entry is not connected.
     entry_session *findSession(const std::string &entry);
+    const entry_session *findSession(const std::string &entry) const;
     void startRuns(entry_session &session, const start_runs &orders);
     void stopRuns(const entry_session &session, const stop_runs &stops);
     void acknowledgeResults(entry_session &session, std::uint64_t lastNumber);
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -231,6 +231,11 @@
     return m_runs.size();
 }
 
+std::size_t run_supervisor::runCount(const std::string &session) const
+{
+    return std::count_if(m_runs.begin(), m_runs.end(), [&session](const auto &each) { return each.second.session == session; });
+}
+
 bool run_supervisor::isReady() const
 {
     return m_worker != nullptr && m_worker->hasLease && !m_worker->hasForeignRuns && isResponsive() && !isLeaseWithheld();
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -85,6 +85,9 @@
     /// Returns the number of runs that may be in progress.
     std::size_t runCount() const;
 
+    /// Returns the number of runs of the session that may be in progress.
+    std::size_t runCount(const std::string &session) const;
+
     /// Returns whether the worker has a lease that may be renewed, answers, and runs nothing that this process did not order.
     bool isReady() const;
 
--- a/src/runs/tests/run_agent_test.cpp
+++ b/src/runs/tests/run_agent_test.cpp
@@ -217,3 +217,35 @@
     CHECK(test.results.back().results.back().outcome == run_outcome::no_room);
     CHECK(test.status.free.milliCores == 0);
 }
+
+/// Guards against runs that are lost when an agent with too many connections closes one.
+TEST_CASE("a surplus connection can be closed once its entry orders nothing more and its runs have ended")
+{
+    agent_fixture test;
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(50));
+    test.agent.setSurplusEntries({"entry"});
+    CHECK(test.status.draining);
+    test.order(2, "job.0.0.1");
+    test.run(milliseconds(1100));
+    CHECK(test.worker.active().size() == 2);
+    CHECK_FALSE(test.agent.canDisconnect("entry"));
+    test.worker.finish({"job.0.0.0", 1}, run_outcome::done);
+    test.worker.finish({"job.0.0.1", 1}, run_outcome::done);
+    test.run(milliseconds(100));
+    CHECK_FALSE(test.agent.canDisconnect("entry"));
+    test.agent.handleMessage("entry", run_results_received{2});
+    CHECK(test.agent.canDisconnect("entry"));
+}
+
+/// Guards against an entry that is told that a worker drains although its connection is needed again.
+TEST_CASE("a surplus connection that is needed again gets orders again")
+{
+    agent_fixture test;
+    test.agent.setSurplusEntries({"entry"});
+    CHECK(test.status.draining);
+    test.agent.setSurplusEntries({});
+    CHECK_FALSE(test.status.draining);
+    test.run(milliseconds(1100));
+    CHECK_FALSE(test.agent.canDisconnect("entry"));
+}
