Orders of one job to one agent carry their payload once

Cause: each order carried the job's payload, about 1.2 kB and up to 4.8 kB. The orders of a job of 16 tasks with 1.2 kB take 77 ms on a link of 2 Mbit/s, and the answers of agents to the last of them arrive no sooner.

Change: the message of orders writes a payload once for consecutive orders with the same one.

Measured: test "the orders of one job to one agent carry their payload once": eight orders with a payload of 4,000 bytes have to take less than 8,000 bytes. The code before wrote 32,000 for the payloads alone; the test was not run on it.

--- a/src/messages/run_messages.h
+++ b/src/messages/run_messages.h
@@ -1,6 +1,8 @@
 #ifndef AZUREMOOR_MESSAGES_RUN_MESSAGES_H
 #define AZUREMOOR_MESSAGES_RUN_MESSAGES_H
 
+#include <string_view>
+
 #include "messages/job_request.h"
 
 namespace azuremoor
@@ -49,6 +51,7 @@
     std::string task;
     /// Number of this run of the task. Increases with every run.
     std::uint32_t number = 1;
+    /// Content of the task. The message that carries the order writes it.
     std::string payload;
     task_shape shape;
 
@@ -57,13 +60,11 @@
     {
         archive(sequence);
         archiveText(archive, task);
-        archive(number);
-        archiveText<MAX_PAYLOAD_BYTES>(archive, payload);
-        archive(shape);
+        archive(number, shape);
     }
 };
 
-/// Sends run orders to the worker of an agent.
+/// Sends run orders to the worker of an agent. Tasks of one job have the same payload, which is written once for consecutive orders.
 struct start_runs {
     /// Identifier of the worker instance that the orders are meant for. It changes when the worker restarts.
     std::string worker;
@@ -74,6 +75,17 @@
     {
         archiveText(archive, worker);
         archiveList(archive, orders);
+        std::string_view previous;
+        for (run_order &order : orders) {
+            bool repeatsPayload = order.payload == previous;
+            archiveBool(archive, repeatsPayload);
+            if (!repeatsPayload) {
+                archiveText<MAX_PAYLOAD_BYTES>(archive, order.payload);
+            } else if constexpr (Archive::is_loading::value) {
+                order.payload = previous;
+            }
+            previous = order.payload;
+        }
     }
 };
 
--- a/src/messages/tests/codec_test.cpp
+++ b/src/messages/tests/codec_test.cpp
@@ -53,7 +53,11 @@
             reply,
             table,
             handover_received{1, 2, 3},
-            start_runs{"worker-1", {{7, "job.0.1.2", 3, "payload", {500, 64, 1}}}},
+            start_runs{"worker-1",
+                       {{7, "job.0.1.2", 3, "payload", {500, 64, 1}},
+                        {8, "job.0.1.3", 3, "payload", {500, 64, 1}},
+                        {9, "job-2.0.0.0", 1, "other", {500, 64, 0}},
+                        {10, "job-3.0.0.0", 1, "", {500, 64, 0}}}},
             stop_runs{{7, 8}},
             run_results{4, {{7, run_outcome::done}, {8, run_outcome::rejected}}},
             run_results_received{5},
@@ -118,3 +122,21 @@
     oversizedField += std::string(4, '\xff');
     CHECK(decodeMessage(oversizedField).error() == decode_error::malformed);
 }
+
+/// Guards against orders that fill an entry's link: the tasks of one job have the same payload, which may be many times as large as an
+/// order.
+TEST_CASE("the orders of one job to one agent carry their payload once")
+{
+    const std::string payload(4000, 'x');
+    start_runs orders{"worker-1", {}};
+    for (std::uint32_t index = 0; index < 8; ++index) {
+        orders.orders.push_back({index + 1, "5c0e7a21d94b36f8.0.0." + std::to_string(index), 1, payload, {3800, 64, 0}});
+    }
+    const std::string bytes = encodeMessage(orders);
+    CHECK(bytes.size() < 2 * payload.size());
+    const auto decoded = decodeMessage(bytes);
+    REQUIRE(decoded);
+    for (const run_order &order : std::get<start_runs>(*decoded).orders) {
+        CHECK(order.payload == payload);
+    }
+}
