--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -17,6 +17,9 @@
 /// Time after which a connection that carries no request is closed.
 constexpr timeval IDLE_TIMEOUT{60, 0};
 
+/// Interval in which a limited connection reads its share, short enough that a share does not delay other messages noticeably.
+constexpr milliseconds READ_RATE_INTERVAL{10};
+
 evhttp_cmd_type commandOf(const std::string &method)
 {
     if (method == "POST") {
@@ -88,6 +91,7 @@
     : m_loop(loop)
     , m_maxConnections(maxConnections)
     , m_patience(patience)
+    , m_readRate(nullptr, ev_token_bucket_cfg_free)
 {
 }
 
@@ -123,6 +127,24 @@
     m_maxConnections = std::max<std::size_t>(maxConnections, 1);
 }
 
+void http_client::setReadRate(std::uint64_t bytesPerSecond)
+{
+    std::unique_ptr<ev_token_bucket_cfg, void (*)(ev_token_bucket_cfg *)> rate(nullptr, ev_token_bucket_cfg_free);
+    if (bytesPerSecond > 0) {
+        const timeval interval{0, microseconds(READ_RATE_INTERVAL).count()};
+        const std::uint64_t intervals = seconds(1) / READ_RATE_INTERVAL;
+        const std::size_t bytes = std::clamp<std::uint64_t>(bytesPerSecond / intervals, 1, EV_RATE_LIMIT_MAX);
+        rate.reset(ev_token_bucket_cfg_new(bytes, bytes, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &interval));
+    }
+    // The connections refer to the former limit until they have the new one.
+    m_readRate.swap(rate);
+    for (auto &[name, target] : m_servers) {
+        for (auto &link : target->connections) {
+            limitReadRate(*link);
+        }
+    }
+}
+
 void http_client::responseCallback(evhttp_request *response, void *argument)
 {
     auto *link = static_cast<connection *>(argument);
@@ -209,6 +231,11 @@
     });
 }
 
+void http_client::limitReadRate(connection &link)
+{
+    bufferevent_set_rate_limit(evhttp_connection_get_bufferevent(link.link), m_readRate.get());
+}
+
 http_client::connection &http_client::connectionFor(server &target)
 {
     auto link = std::make_unique<connection>();
@@ -216,6 +243,7 @@
     link->target = &target;
     link->link = evhttp_connection_base_new(m_loop.base(), nullptr, target.address.host.c_str(), target.address.port);
     evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(link->link)), writeCallback, link.get());
+    limitReadRate(*link);
     target.connections.push_back(std::move(link));
     return *target.connections.back();
 }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -17,6 +17,7 @@
 struct evbuffer;
 struct evbuffer_cb_info;
 struct evhttp_connection;
+struct ev_token_bucket_cfg;
 struct evhttp_request;
 
 namespace azuremoor
@@ -71,6 +72,10 @@
     /// Changes the most connections to one server.
     void setMaxConnections(std::size_t maxConnections);
 
+    /// Limits how fast each connection is read, in bytes per second, present connections included. A long answer then leaves room on the
+    /// machine's link for others. 0 sets no limit, which is also the initial state.
+    void setReadRate(std::uint64_t bytesPerSecond);
+
 private:
     struct exchange;
     struct connection;
@@ -82,12 +87,15 @@
     void start(connection &link, std::unique_ptr<exchange> work);
     void finish(connection &link, evhttp_request *response);
     connection &connectionFor(server &target);
+    void limitReadRate(connection &link);
 
     event_loop &m_loop;
     std::size_t m_maxConnections;
     milliseconds m_patience;
     system_time m_time;
     std::map<std::string, std::unique_ptr<server>> m_servers;
+    /// The limit of each connection's read rate; null for none.
+    std::unique_ptr<ev_token_bucket_cfg, void (*)(ev_token_bucket_cfg *)> m_readRate;
 };
 
 }
