Metrics: connections and waiting bytes, by the role of the peer

What was missing: when a configuration filled the links of entries, no metric showed how many bytes waited in which connections; the cause had to be inferred from lost heartbeats (first plays of the users).

Change: `azuremoor_connections` and `azuremoor_waiting_bytes`, each with the role of the peers as a label, from the mesh of every process.

--- a/src/daemon/state_json.cpp
+++ b/src/daemon/state_json.cpp
@@ -87,6 +87,18 @@
                                     "Messages that were dropped",
                                     static_cast<double>(counters.droppedUnreachable),
                                     {{"reason", "unreachable"}}));
+    for (const auto &[role, count] : counters.connections) {
+        samples.push_back(gaugeSample("azuremoor_connections",
+                                      "Connections to other processes, by their role",
+                                      static_cast<double>(count),
+                                      {{"role", std::string(roleName(role))}}));
+    }
+    for (const auto &[role, bytes] : counters.waitingBytes) {
+        samples.push_back(gaugeSample("azuremoor_waiting_bytes",
+                                      "Bytes that connections to other processes have not taken yet, by their role",
+                                      static_cast<double>(bytes),
+                                      {{"role", std::string(roleName(role))}}));
+    }
 }
 
 void addControlSamples(std::vector<metric_sample> &samples,
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -43,7 +43,7 @@
     }
     const std::string body = encodeMessage(value);
     const std::uint32_t length = htonl(static_cast<std::uint32_t>(body.size()));
-    if (evbuffer_get_length(bufferevent_get_output(m_connection)) + evbuffer_get_length(m_unflushed) > MAX_BUFFERED_BYTES) {
+    if (waitingBytes() > MAX_BUFFERED_BYTES) {
         // The end of the connection is reported from the event loop, not from within the sender's call.
         shutdown(bufferevent_getfd(m_connection), SHUT_RDWR);
         return;
@@ -83,6 +83,11 @@
     return m_receivedBytes;
 }
 
+std::size_t peer_link::waitingBytes() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_connection)) + evbuffer_get_length(m_unflushed);
+}
+
 void peer_link::readCallback(bufferevent *, void *argument)
 {
     static_cast<peer_link *>(argument)->readMessages();
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -57,6 +57,9 @@
     std::uint64_t sentBytes() const;
     std::uint64_t receivedBytes() const;
 
+    /// Returns the bytes that were sent and that the connection has not taken yet.
+    std::size_t waitingBytes() const;
+
 private:
     static void readCallback(bufferevent *, void *argument);
     static void eventCallback(bufferevent *, short events, void *argument);
--- a/src/transport/peer_mesh.cpp
+++ b/src/transport/peer_mesh.cpp
@@ -179,6 +179,10 @@
     for (const auto &[link, entry] : m_links) {
         result.sentBytes += link->sentBytes();
         result.receivedBytes += link->receivedBytes();
+        if (!entry.closed && !entry.peer.empty()) {
+            ++result.connections[entry.role];
+            result.waitingBytes[entry.role] += link->waitingBytes();
+        }
     }
     return result;
 }
@@ -201,7 +205,7 @@
     auto link = std::make_unique<peer_link>(connection, *mesh);
     link->setTimeouts(mesh->m_silenceTimeout, mesh->m_silenceTimeout);
     peer_link *key = link.get();
-    mesh->m_links[key] = {std::move(link), {}, {}, false};
+    mesh->m_links[key] = {std::move(link), {}, {}, {}, false};
     mesh->sendOn(*key, mesh->m_self);
 }
 
@@ -252,6 +256,7 @@
         closeEntry(m_links.at(earlier->second));
     }
     entry.peer = value.name;
+    entry.role = value.role;
     m_byName[value.name] = entry.link.get();
     m_isHandlerFlushDue = true;
     scheduleFlush();
@@ -265,7 +270,7 @@
     auto link = std::make_unique<peer_link>(connection, *this);
     link->setTimeouts(m_silenceTimeout, m_connectTimeout);
     peer_link *key = link.get();
-    m_links[key] = {std::move(link), name, {}, false};
+    m_links[key] = {std::move(link), name, {}, {}, false};
     if (bufferevent_socket_connect(connection, reinterpret_cast<const sockaddr *>(&target.storage), target.length) != 0) {
         closeEntry(m_links.at(key));
         return;
--- a/src/transport/peer_mesh.h
+++ b/src/transport/peer_mesh.h
@@ -51,6 +51,10 @@
     std::uint64_t droppedMalformed = 0;
     std::uint64_t droppedUnreachable = 0;
     std::map<std::string, std::uint64_t> sentByType;
+    /// Connections to peers that have introduced themselves, by the role of the peer.
+    std::map<member_role, std::uint64_t> connections;
+    /// Bytes that these connections have not taken yet.
+    std::map<member_role, std::uint64_t> waitingBytes;
 };
 
 /**
@@ -105,6 +109,7 @@
         std::string target;
         /// Who the peer says it is; empty before that.
         std::string peer;
+        member_role role = member_role::entry;
         bool closed = false;
     };
 
