Heartbeats only where runs are open, and less often elsewhere; orders carry the lease

With 16 connections for each agent, heartbeats were still about 77,000 messages a second in the fleet, against 25,000 for jobs (by arithmetic).

Cause: an entry's lease at an agent lasted only from one heartbeat to the next, whether or not the entry had a run there. An entry of the large site has runs on about 15 of its 70 workers at a time.

Change: an agent sends a heartbeat in each interval (100 ms) to entries with runs or unacknowledged results, and in every fourth one to the others. The lease of an entry without runs may end in between; its next order renews it. The order carries a time on the agent's clock that is not later than when it was made: the time in the last heartbeat, and what has passed since on the entry's clock, less 2%.

--- a/src/dispatch/entry_peer_handler.cpp
+++ b/src/dispatch/entry_peer_handler.cpp
@@ -115,7 +115,7 @@
         m_routing.recordPeerVersion(peer, heartbeat.controlOffset);
         return;
     }
-    m_pool.recordHeartbeat(peer);
+    m_pool.recordHeartbeat(peer, heartbeat);
     // The entry reads no control stream, suspects no entries and is not leaving.
     m_outbox.send(peer, pong{heartbeat.sentMicroseconds, 0, -1, {}, false});
 }
--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -47,6 +47,7 @@
         if (const auto *orders = std::get_if<start_runs>(&value)) {
             for (const run_order &order : orders->orders) {
                 orderedRuns.emplace_back(peer, order);
+                orderTimes.push_back(orders->agentMicroseconds);
             }
         } else if (const auto *stops = std::get_if<stop_runs>(&value)) {
             stopped.insert(stopped.end(), stops->sequences.begin(), stops->sequences.end());
@@ -79,7 +80,7 @@
     void heartbeat()
     {
         for (const auto &[agent, worker] : pool.workers()) {
-            pool.recordHeartbeat(agent);
+            pool.recordHeartbeat(agent, ping{time.steadyNow().time_since_epoch().count(), 0});
         }
     }
 
@@ -136,6 +137,8 @@
     job_dispatcher dispatcher;
     route jobRoute;
     std::vector<std::pair<std::string, run_order>> orderedRuns;
+    /// Times on the agents' clocks that the orders carried.
+    std::vector<std::int64_t> orderTimes;
     std::vector<std::uint64_t> stopped;
     std::vector<room_wish> demands;
     std::vector<std::uint64_t> acknowledged;
@@ -223,12 +226,12 @@
     test.addWorker("two");
     const agent_timeouts timeouts;
     test.time.run(timeouts.runsEndedAfter - milliseconds(1));
-    test.pool.recordHeartbeat("two");
+    test.pool.recordHeartbeat("two", {});
     test.pool.tick();
     test.dispatcher.placeWaitingTasks();
     CHECK(test.orderedRuns.size() == 1);
     test.time.run(milliseconds(1));
-    test.pool.recordHeartbeat("two");
+    test.pool.recordHeartbeat("two", {});
     test.pool.tick();
     test.dispatcher.placeWaitingTasks();
     REQUIRE(test.orderedRuns.size() == 2);
@@ -745,3 +748,46 @@
     REQUIRE(test.orderedRuns.size() == 5);
     CHECK(test.orderedRuns.back().first == "two");
 }
+
+/// Guards against orders to an idle worker that its agent refuses because the entry's lease has ended meanwhile, and against a lease that
+/// an order extends beyond the time until which the entry counts the run as possibly under way.
+TEST_CASE("idle worker: an order renews the entry's lease, and the run counts as ended only after that lease")
+{
+    dispatcher_fixture test;
+    test.addWorker("one");
+    const std::int64_t agentClock = 5'000'000;
+    test.pool.recordHeartbeat("one", ping{agentClock, 0});
+    test.time.run(milliseconds(400));
+    test.submit(1, "job");
+    REQUIRE(test.orderedRuns.size() == 1);
+    // 400 ms on a clock that may be 2% slower.
+    CHECK(test.orderTimes.back() == agentClock + 392'000);
+
+    // The agent is lost: it gets no more orders after the time in which a heartbeat had to come.
+    test.time.run(milliseconds(349));
+    test.submit(2, "second");
+    CHECK(test.orderedRuns.size() == 2);
+    CHECK(test.orderTimes.back() == agentClock + 392'000);
+    test.time.run(milliseconds(2));
+    test.submit(3, "third");
+    CHECK(test.orderedRuns.size() == 2);
+
+    const agent_timeouts timeouts;
+    test.time.run(std::chrono::duration_cast<milliseconds>(timeouts.runsEndedAfter) - milliseconds(352));
+    test.pool.tick();
+    CHECK(test.pool.workers().at("one").runs.size() == 2);
+    test.time.run(milliseconds(2));
+    test.pool.tick();
+    CHECK(test.pool.workers().at("one").runs.empty());
+}
+
+TEST_CASE("idle worker: it gets no orders once its less frequent heartbeats are missing")
+{
+    dispatcher_fixture test;
+    test.addWorker("one");
+    test.pool.recordHeartbeat("one", ping{5'000'000, 0});
+    test.time.run(milliseconds(649));
+    CHECK(test.pool.isUsable(test.pool.workers().at("one")));
+    test.time.run(milliseconds(2));
+    CHECK_FALSE(test.pool.isUsable(test.pool.workers().at("one")));
+}
--- a/src/dispatch/tests/slow_processor.cpp
+++ b/src/dispatch/tests/slow_processor.cpp
@@ -108,7 +108,7 @@
 void slow_processor::sendHeartbeats()
 {
     for (const auto &[agent, worker] : m_pool.workers()) {
-        queueMessage(HEARTBEAT_COST, [this, name = agent] { m_pool.recordHeartbeat(name); });
+        queueMessage(HEARTBEAT_COST, [this, name = agent] { m_pool.recordHeartbeat(name, {}); });
     }
     m_time.after(HEARTBEAT_INTERVAL, [this] { sendHeartbeats(); });
 }
--- a/src/dispatch/worker_pool.cpp
+++ b/src/dispatch/worker_pool.cpp
@@ -45,6 +45,20 @@
     return available;
 }
 
+steady_time pooled_worker::leaseRenewal() const
+{
+    return std::max(lastHeartbeatAt, leaseRenewedAt);
+}
+
+std::int64_t pooled_worker::agentTimeAt(steady_time time) const
+{
+    if (!agentClock) {
+        return 0;
+    }
+    const double elapsed = static_cast<double>((time - agentClock->receivedAt).count());
+    return agentClock->agentMicroseconds + static_cast<std::int64_t>(elapsed * (1 - CLOCK_RATE_TOLERANCE));
+}
+
 worker_pool::worker_pool(const time_source &time, agent_timeouts timeouts, peer_outbox &outbox, decision_journal &journal)
     : m_time(time)
     , m_timeouts(timeouts)
@@ -86,7 +100,7 @@
     m_journal.note("agent_disconnected", {{"agent", agent}, {"runs", std::to_string(found->second.runs.size())}});
 }
 
-void worker_pool::recordHeartbeat(const std::string &agent)
+void worker_pool::recordHeartbeat(const std::string &agent, const ping &heartbeat)
 {
     const auto found = m_workers.find(agent);
     if (found == m_workers.end()) {
@@ -94,6 +108,7 @@
     }
     pooled_worker &worker = found->second;
     worker.lastHeartbeatAt = m_time.steadyNow();
+    worker.agentClock = {heartbeat.sentMicroseconds, worker.lastHeartbeatAt};
     // Results are acknowledged together with a heartbeat, so that the agent wakes up only once.
     if (worker.acknowledgedResultNumber != worker.lastResultNumber) {
         worker.acknowledgedResultNumber = worker.lastResultNumber;
@@ -195,6 +210,9 @@
 {
     order.sequence = ++worker.lastOrderSequence;
     worker.lastOrderAt = m_time.steadyNow();
+    if (worker.runs.empty()) {
+        worker.leaseRenewedAt = worker.lastOrderAt;
+    }
     worker.runs[order.sequence] = {task, order.shape, estimate, m_time.steadyNow(), false, std::nullopt, {}, false};
     start_runs &batch = m_orders[worker.agent];
     batch.worker = worker.status.worker;
@@ -221,6 +239,8 @@
 void worker_pool::flush()
 {
     for (auto &[agent, orders] : m_orders) {
+        const auto found = m_workers.find(agent);
+        orders.agentMicroseconds = found == m_workers.end() ? 0 : found->second.agentTimeAt(found->second.leaseRenewal());
         m_outbox.send(agent, std::move(orders));
     }
     m_orders.clear();
@@ -234,7 +254,7 @@
 {
     const steady_time now = m_time.steadyNow();
     for (auto &[agent, worker] : m_workers) {
-        if (!worker.runs.empty() && now >= worker.lastHeartbeatAt + m_timeouts.runsEndedAfter) {
+        if (!worker.runs.empty() && now >= worker.leaseRenewal() + m_timeouts.runsEndedAfter) {
             endRunsOfSilentAgent(worker);
         }
         if (!worker.orphanedRuns.empty() && now >= worker.orphanedRunsEndBy) {
@@ -260,8 +280,9 @@
 
 bool worker_pool::isUsable(const pooled_worker &worker, steady_time now) const
 {
-    return worker.isConnected && !worker.isAwaitingStatus && worker.status.ready && !worker.status.draining
-        && now < worker.lastHeartbeatAt + m_timeouts.suspectedAfter;
+    const steady_time suspectedAt
+        = worker.runs.empty() ? worker.lastHeartbeatAt + m_timeouts.idleSuspectedAfter : worker.leaseRenewal() + m_timeouts.suspectedAfter;
+    return worker.isConnected && !worker.isAwaitingStatus && worker.status.ready && !worker.status.draining && now < suspectedAt;
 }
 
 task_shape worker_pool::largestAvailableCapacity() const
@@ -328,11 +349,13 @@
         worker.orphanedRuns.push_back(run);
     }
     if (!worker.runs.empty()) {
-        worker.orphanedRunsEndBy = std::max(worker.orphanedRunsEndBy, worker.lastHeartbeatAt + m_timeouts.runsEndedAfter);
+        worker.orphanedRunsEndBy = std::max(worker.orphanedRunsEndBy, worker.leaseRenewal() + m_timeouts.runsEndedAfter);
     }
     worker.runs.clear();
     worker.lastOrderSequence = 0;
     worker.lastResultNumber = 0;
+    worker.agentClock.reset();
+    worker.leaseRenewedAt = {};
     worker.status = {};
 }
 
--- a/src/dispatch/worker_pool.h
+++ b/src/dispatch/worker_pool.h
@@ -33,6 +33,15 @@
     virtual void handleRunEnd(const task_reference &task, run_outcome outcome, const std::string &agent) = 0;
 };
 
+/// Fraction by which the rates of two machines' steady clocks may differ.
+constexpr double CLOCK_RATE_TOLERANCE = 0.02;
+
+/// What a heartbeat says of an agent's steady clock.
+struct agent_clock_sample {
+    std::int64_t agentMicroseconds = 0;
+    steady_time receivedAt;
+};
+
 /// An entry's view of one worker, as reported by the worker's agent. Times are on the steady clock.
 struct pooled_worker {
     /// A run that was ordered and whose result has not arrived.
@@ -59,9 +68,12 @@
     bool isAwaitingStatus = true;
     worker_status status;
     steady_time statusReceivedAt;
-    /// When the agent's latest heartbeat was answered, or its connection was made if that is later. The entry's runs at the agent have
-    /// ended by `agent_timeouts::runsEndedAfter` later.
+    /// When the agent's latest heartbeat was answered, or its connection was made if that is later.
     steady_time lastHeartbeatAt;
+    /// When an order to the idle worker last renewed the entry's lease at the agent.
+    steady_time leaseRenewedAt{};
+    /// The agent's steady clock in its latest heartbeat, and when that heartbeat was handled; nothing before the first one.
+    std::optional<agent_clock_sample> agentClock;
     /// Sequence of the latest order to this process of the agent.
     std::uint64_t lastOrderSequence = 0;
     steady_time lastOrderAt;
@@ -80,6 +92,14 @@
 
     /// Returns the reported free capacity, less the orders that the report does not include yet.
     task_shape availableCapacity() const;
+
+    /// Returns when the entry's lease at the agent was last renewed at the latest. The entry's runs there have ended by
+    /// `agent_timeouts::runsEndedAfter` later.
+    steady_time leaseRenewal() const;
+
+    /// Returns a time on the agent's steady clock, in microseconds, that is not later than the given one even if the clocks' rates differ
+    /// by CLOCK_RATE_TOLERANCE; 0 when nothing is known of that clock.
+    std::int64_t agentTimeAt(steady_time time) const;
 };
 
 /// Medians over the usable workers of a pool; see `worker_performance`.
@@ -91,12 +111,14 @@
 /// A worker whose slowness is at least this multiple of the median is quarantined, and its runs may be moved to other workers.
 constexpr double SLOW_WORKER_RATIO = 2.5;
 
-/// Limits on the time since an entry last answered a heartbeat of an agent.
+/// Limits on the time since an entry last renewed its lease at an agent, by the answer to a heartbeat or by an order.
 struct agent_timeouts {
     /// Time after which none of the entry's runs can be active at the agent. Must not be shorter than `lease_timing::maxOrphanedRunTime()`.
     microseconds runsEndedAfter = milliseconds(1250);
     /// Time after which the agent gets no new runs.
     microseconds suspectedAfter = milliseconds(350);
+    /// Time since the last heartbeat after which an agent without runs of the entry gets none.
+    microseconds idleSuspectedAfter = milliseconds(650);
 };
 
 /**
@@ -119,8 +141,8 @@
     /// Handles the loss of the connection to the agent. Its runs may continue.
     void disconnectAgent(const std::string &agent);
 
-    /// Records that a heartbeat of the agent is being answered, and acknowledges new results.
-    void recordHeartbeat(const std::string &agent);
+    /// Records that the heartbeat of the agent is being answered, and acknowledges new results.
+    void recordHeartbeat(const std::string &agent, const ping &heartbeat);
 
     /// Handles an agent's status of its worker. The first status on a connection settles which orders the agent received.
     void updateStatus(const std::string &agent, const worker_status &status);
--- a/src/messages/run_messages.h
+++ b/src/messages/run_messages.h
@@ -64,16 +64,24 @@
     }
 };
 
+/// An agent sends a heartbeat in each interval to an entry that has runs or unacknowledged results there, and to another entry once in this
+/// number of intervals.
+constexpr int IDLE_HEARTBEAT_INTERVALS = 4;
+
 /// Sends run orders to the worker of an agent. Tasks of one job have the same payload, which is written once for consecutive orders.
 struct start_runs {
     /// Identifier of the worker instance that the orders are meant for. It changes when the worker restarts.
     std::string worker;
     std::vector<run_order> orders;
+    /// A time on the agent's steady clock, in microseconds, that is not later than when the orders were made. It renews the entry's lease
+    /// like the answer to a heartbeat that was sent at that time.
+    std::int64_t agentMicroseconds = 0;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
         archiveText(archive, worker);
+        archive(agentMicroseconds);
         archiveList(archive, orders);
         std::string_view previous;
         for (run_order &order : orders) {
--- a/src/runs/run_agent.cpp
+++ b/src/runs/run_agent.cpp
@@ -77,12 +77,9 @@
     }
     expireSessions();
     if (const auto *answer = std::get_if<pong>(&value)) {
-        const steady_time leaseEnd = steady_time(microseconds(answer->echoedMicroseconds)) + m_leases.entryLease;
-        if (leaseEnd > m_time.steadyNow()) {
-            session->leaseEnd = std::max(session->leaseEnd, leaseEnd);
-            session->isExpired = false;
-        }
+        renewLease(*session, steady_time(microseconds(answer->echoedMicroseconds)));
     } else if (const auto *orders = std::get_if<start_runs>(&value)) {
+        renewLease(*session, steady_time(microseconds(orders->agentMicroseconds)));
         startRuns(*session, *orders);
     } else if (const auto *stops = std::get_if<stop_runs>(&value)) {
         stopRuns(*session, *stops);
@@ -117,8 +114,12 @@
 void run_agent::sendHeartbeats()
 {
     flush();
+    m_heartbeatRound = (m_heartbeatRound + 1) % IDLE_HEARTBEAT_INTERVALS;
     const std::int64_t now = m_time.steadyNow().time_since_epoch().count();
     for (const auto &[entry, sessionName] : m_currentSessions) {
+        if (m_heartbeatRound != 0 && !isBusy(sessionName, m_sessions.at(sessionName))) {
+            continue;
+        }
         m_outbox.send(entry, ping{now, 0});
         // Pending updates are sent together with the heartbeat, so that the entry wakes up only once.
         std::vector<run_progress> progress = m_supervisor.progress(sessionName);
@@ -128,6 +129,17 @@
     }
 }
 
+std::set<std::string> run_agent::busyEntries() const
+{
+    std::set<std::string> result;
+    for (const auto &[entry, sessionName] : m_currentSessions) {
+        if (isBusy(sessionName, m_sessions.at(sessionName))) {
+            result.insert(entry);
+        }
+    }
+    return result;
+}
+
 void run_agent::tick()
 {
     expireSessions();
@@ -206,6 +218,21 @@
     return found == m_currentSessions.end() ? nullptr : &m_sessions.at(found->second);
 }
 
+bool run_agent::isBusy(const std::string &sessionName, const entry_session &session) const
+{
+    return !session.results.empty() || m_supervisor.runCount(sessionName) > 0;
+}
+
+void run_agent::renewLease(entry_session &session, steady_time aliveAt)
+{
+    const steady_time now = m_time.steadyNow();
+    const steady_time leaseEnd = std::min(aliveAt, now) + m_leases.entryLease;
+    if (leaseEnd > now) {
+        session.leaseEnd = std::max(session.leaseEnd, leaseEnd);
+        session.isExpired = false;
+    }
+}
+
 void run_agent::startRuns(entry_session &session, const start_runs &orders)
 {
     const std::string sessionName = makeSessionName(session.entry, session.incarnation);
@@ -240,8 +267,14 @@
 {
     const steady_time now = m_time.steadyNow();
     for (auto &[sessionName, session] : m_sessions) {
-        if (!session.isExpired && now >= session.leaseEnd) {
+        if (session.isExpired || now < session.leaseEnd) {
+            continue;
+        }
+        if (m_supervisor.runCount(sessionName) > 0) {
             endSession(session, "the entry stopped answering heartbeats");
+        } else {
+            // Without runs nothing has to end, and the next order renews the lease.
+            session.isExpired = true;
         }
     }
     std::erase_if(m_sessions, [now](const auto &element) {
--- a/src/runs/run_agent.h
+++ b/src/runs/run_agent.h
@@ -19,7 +19,8 @@
  * that disappear.
  *
  * Each process of an entry has a session with a lease. The lease ends a fixed time after the last answered heartbeat was sent. When it
- * ends, the runs that the entry ordered are stopped.
+ * ends, the runs that the entry ordered are stopped. An entry without runs gets heartbeats less often than the lease would need: its
+ * next order says, on this agent's clock, when it was made at the earliest, and renews the lease from then on.
  *
  * This agent executes run orders (start_runs). worker_agent is the agent for entries that place tasks with credits (start_tasks).
  */
@@ -45,9 +46,13 @@
     /// no run or result of the entry is left.
     bool canDisconnect(const std::string &entry) const;
 
-    /// Sends a heartbeat and pending updates to each connected entry. Must be called once per heartbeat interval.
+    /// Sends a heartbeat and pending updates to the connected entries that have runs or unacknowledged results, and to the others in one of
+    /// IDLE_HEARTBEAT_INTERVALS calls. Must be called once per heartbeat interval.
     void sendHeartbeats();
 
+    /// Returns the connected entries that get a heartbeat in each interval.
+    std::set<std::string> busyEntries() const;
+
     /// Expires sessions, repeats the stops of runs that have not ended, and renews the worker's lease. Must be called more often than
     /// leases are renewed.
     void tick();
@@ -75,6 +80,10 @@
     /// Returns the session of the entry's current connection, or null if the entry is not connected.
     entry_session *findSession(const std::string &entry);
     const entry_session *findSession(const std::string &entry) const;
+    /// Returns whether the session has runs or unacknowledged results.
+    bool isBusy(const std::string &sessionName, const entry_session &session) const;
+    /// Renews the lease as of a time at which the entry was certainly there.
+    void renewLease(entry_session &session, steady_time aliveAt);
     void startRuns(entry_session &session, const start_runs &orders);
     void stopRuns(const entry_session &session, const stop_runs &stops);
     void acknowledgeResults(entry_session &session, std::uint64_t lastNumber);
@@ -99,6 +108,8 @@
     /// Session names of the connected entries, by entry name.
     std::map<std::string, std::string> m_currentSessions;
     capacity_notifier m_notifier;
+    /// Calls of sendHeartbeats(), modulo IDLE_HEARTBEAT_INTERVALS.
+    int m_heartbeatRound = 0;
     /// Worker status at the last flush, which entries were or will be notified of.
     worker_status m_announcedStatus;
 };
--- a/src/runs/tests/run_agent_test.cpp
+++ b/src/runs/tests/run_agent_test.cpp
@@ -27,6 +27,7 @@
     void send(const std::string &, message value) override
     {
         if (const auto *heartbeat = std::get_if<ping>(&value)) {
+            ++heartbeats;
             if (isEntryAlive) {
                 agent.handleMessage("entry", pong{heartbeat->sentMicroseconds, 0, -1, {}, false});
             }
@@ -71,6 +72,7 @@
     fake_worker worker;
     decision_journal journal;
     bool isEntryAlive = true;
+    std::size_t heartbeats = 0;
     std::vector<run_results> results;
     /// The worker as the entry knows it, from status messages and capacity updates.
     worker_status status;
@@ -249,3 +251,52 @@
     test.run(milliseconds(1100));
     CHECK_FALSE(test.agent.canDisconnect("entry"));
 }
+
+/// Guards against heartbeats that grow with the number of entries that know a worker: most of them have no run there.
+TEST_CASE("an entry with runs gets a heartbeat in each interval, another one in one of several")
+{
+    agent_fixture test;
+    test.run(milliseconds(400));
+    test.heartbeats = 0;
+    test.run(seconds(4));
+    CHECK(test.heartbeats == 40 / IDLE_HEARTBEAT_INTERVALS);
+    test.order(1, "job.0.0.0");
+    test.heartbeats = 0;
+    test.run(seconds(4));
+    CHECK(test.heartbeats == 40);
+    CHECK(test.worker.active().size() == 1);
+}
+
+/// Guards against orders that are refused because the lease of an entry without runs ends between its heartbeats.
+TEST_CASE("an order renews the lease from the time at which it was made")
+{
+    agent_fixture test;
+    test.isEntryAlive = false;
+    test.run(seconds(2));
+    CHECK(test.agent.activeSessionCount() == 0);
+    const std::int64_t now = test.time.steadyNow().time_since_epoch().count();
+    const std::int64_t justInTime = now - microseconds(test.leases.entryLease).count() + 50'000;
+    test.agent.handleMessage("entry", start_runs{test.worker.name, {{1, "job.0.0.0", 1, "payload", {1000, 64, 0}}}, justInTime});
+    test.run(milliseconds(25));
+    CHECK(test.worker.active().size() == 1);
+    // The lease ends as if a heartbeat of that time had been answered, and the run with it.
+    test.run(milliseconds(400));
+    CHECK(test.worker.active().empty());
+}
+
+TEST_CASE("an order that was made too long ago is refused, and one from the future renews the lease as of now")
+{
+    agent_fixture test;
+    test.isEntryAlive = false;
+    test.run(seconds(2));
+    const std::int64_t now = test.time.steadyNow().time_since_epoch().count();
+    const std::int64_t tooLate = now - microseconds(test.leases.entryLease).count();
+    test.agent.handleMessage("entry", start_runs{test.worker.name, {{1, "job.0.0.0", 1, "payload", {1000, 64, 0}}}, tooLate});
+    test.run(milliseconds(25));
+    CHECK(test.worker.started.empty());
+    test.agent.handleMessage("entry", start_runs{test.worker.name, {{2, "job.0.0.1", 1, "payload", {1000, 64, 0}}}, now + 60'000'000});
+    test.run(milliseconds(25));
+    CHECK(test.worker.active().size() == 1);
+    test.run(test.leases.entryLease + milliseconds(300));
+    CHECK(test.worker.active().empty());
+}
