A request is pending until its answer has been written

Cause: `http_server::pending()` forgot a request as soon as its answer was handed to evhttp, which writes it in a later turn of the event loop. A stopping process asks from a timer whether anything is pending. If the timer is due in between and this was the last request, the loop ends and the answer is never written. The code is as old as the server; with 55 entries that are stopped in turn it shows.

That the answer was handed over at that moment follows from the times; the log of that entry was not kept.

Change: requests whose answers are being written stay pending until evhttp has written them or their connection is closed.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -103,9 +103,15 @@
     event *hangUp = nullptr;
 
     ~pending_request()
+    {
+        endHangUpWatch();
+    }
+
+    void endHangUpWatch()
     {
         if (hangUp != nullptr) {
             event_free(hangUp);
+            hangUp = nullptr;
         }
     }
 };
@@ -139,8 +145,10 @@
 
 http_server::~http_server()
 {
-    for (auto &[id, pending] : m_pending) {
-        evhttp_connection_set_closecb(evhttp_request_get_connection(pending->request), nullptr, nullptr);
+    for (const auto *requests : {&m_pending, &m_answered}) {
+        for (const auto &[id, pending] : *requests) {
+            evhttp_connection_set_closecb(evhttp_request_get_connection(pending->request), nullptr, nullptr);
+        }
     }
     evhttp_free(m_http);
 }
@@ -156,9 +164,12 @@
     if (found == m_pending.end()) {
         return;
     }
-    evhttp_request *request = found->second->request;
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
-    m_pending.erase(found);
+    auto answered = m_pending.extract(found);
+    pending_request &pending = *answered.mapped();
+    evhttp_request *request = pending.request;
+    pending.endHangUpWatch();
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), closeAnsweredCallback, &pending);
+    m_answered.insert(std::move(answered));
     evkeyvalq *headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Content-Type", response.contentType.c_str());
     for (const auto &[name, value] : response.headers) {
@@ -168,7 +179,7 @@
     evbuffer_add(output, response.body.data(), response.body.size());
     // Answers are written before new requests are read.
     setPriority(request, loop_priority::normal);
-    evhttp_request_set_on_complete_cb(request, completeCallback, this);
+    evhttp_request_set_on_complete_cb(request, completeCallback, &pending);
     evhttp_send_reply(request, response.status, nullptr, nullptr);
 }
 
@@ -182,7 +193,7 @@
 
 std::size_t http_server::pending() const
 {
-    return m_pending.size();
+    return m_pending.size() + m_answered.size();
 }
 
 void http_server::requestCallback(evhttp_request *request, void *argument)
@@ -196,6 +207,12 @@
     pending->server->abandon(pending->id);
 }
 
+void http_server::closeAnsweredCallback(evhttp_connection *, void *argument)
+{
+    auto *pending = static_cast<pending_request *>(argument);
+    pending->server->m_answered.erase(pending->id);
+}
+
 void http_server::hangUpCallback(int, short, void *argument)
 {
     auto *pending = static_cast<pending_request *>(argument);
@@ -206,7 +223,10 @@
 
 void http_server::completeCallback(evhttp_request *request, void *argument)
 {
-    setPriority(request, static_cast<http_server *>(argument)->m_readPriority);
+    auto *pending = static_cast<pending_request *>(argument);
+    setPriority(request, pending->server->m_readPriority);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+    pending->server->m_answered.erase(pending->id);
 }
 
 void http_server::abandon(std::uint64_t id)
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -90,7 +90,7 @@
     /// Stops accepting connections. Requests that were read are still answered.
     void closeListener();
 
-    /// Returns the number of unanswered requests.
+    /// Returns the number of requests that are unanswered, or whose answer has not been written to the connection yet.
     std::size_t pending() const;
 
 private:
@@ -98,6 +98,7 @@
 
     static void requestCallback(evhttp_request *request, void *argument);
     static void closeCallback(evhttp_connection *connection, void *argument);
+    static void closeAnsweredCallback(evhttp_connection *connection, void *argument);
     static void hangUpCallback(int, short, void *argument);
     static void completeCallback(evhttp_request *request, void *argument);
     void receive(evhttp_request *request);
@@ -111,7 +112,10 @@
     evhttp *m_http;
     evhttp_bound_socket *m_socket = nullptr;
     socket_address m_address;
+    /// Unanswered requests.
     std::map<std::uint64_t, std::unique_ptr<pending_request>> m_pending;
+    /// Requests whose answers are being written.
+    std::map<std::uint64_t, std::unique_ptr<pending_request>> m_answered;
     std::uint64_t m_nextId = 1;
 };
 
