A worker's runs go on after the announcement of its departure until they are known to have ended

What callers would see: two runs of a task at the same time, when a worker announces its departure while its runs are still under way, or when somebody else announces it.

Cause: the agent took the announcement for the end of all runs and reported them as lost at once, so that their tasks were started elsewhere.

Why it works: the announcement ends new orders and asks the worker with a renewal. Its runs are reported when its host refuses a connection, another instance answers, or its lease ends, the same evidence as for a worker that says nothing. A worker that reports again is used again.

--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -71,6 +71,8 @@
     std::uint64_t registration = 0;
     std::uint64_t fencingToken = 0;
     bool draining = false;
+    /// The worker's departure was announced, and it has not reported since.
+    bool hasDeparted = false;
     /// Until when the worker is slow after its start.
     steady_time coldUntil{};
     /// A renewal was answered since the instance was registered or the lease last expired.
@@ -118,6 +120,7 @@
         return true;
     }
     m_worker->report = report;
+    m_worker->hasDeparted = false;
     if (!m_worker->hasLease) {
         // The instance may have been registered by a late report, whose clock is behind the tokens that it has seen.
         m_worker->fencingToken = std::max(m_worker->fencingToken, static_cast<std::uint64_t>(report.clock));
@@ -133,7 +136,9 @@
 void run_supervisor::handleDeparture(const std::string &workerInstance)
 {
     if (m_worker != nullptr && m_worker->report.workerInstance == workerInstance) {
-        discardWorker(run_outcome::worker_lost, "left");
+        m_journal.note("worker_departing", {{"worker", workerInstance}, {"runs", std::to_string(m_runs.size())}});
+        m_worker->hasDeparted = true;
+        renew(milliseconds(0));
     } else if (m_contender && m_contender->report.workerInstance == workerInstance) {
         m_contender.reset();
     }
@@ -142,7 +147,7 @@
 void run_supervisor::start(const std::string &session, const std::string &workerInstance, const run_order &order)
 {
     const auto refuse = [&](run_outcome outcome) { m_listener.handleRunResult(session, order.sequence, outcome); };
-    if (m_isClosed || !isReady() || m_worker->draining || m_worker->report.workerInstance != workerInstance) {
+    if (m_isClosed || !isReady() || isDraining() || m_worker->report.workerInstance != workerInstance) {
         refuse(run_outcome::closed);
         return;
     }
@@ -217,6 +222,9 @@
         return;
     }
     checkLeaseExpiry();
+    if (m_worker == nullptr) {
+        return;
+    }
     const steady_time now = m_time.steadyNow();
     for (auto &[key, run] : m_runs) {
         if (run.state == run_state::stopping && now >= run.nextStopAttempt) {
@@ -240,7 +248,7 @@
         return result;
     }
     result.ready = isReady() && !m_isClosed;
-    result.draining = m_worker->draining;
+    result.draining = isDraining();
     result.worker = m_worker->report.workerInstance;
     result.service = m_worker->report.service;
     result.labels = m_worker->report.labels;
@@ -293,6 +301,11 @@
     return m_worker != nullptr && m_worker->hasLease && !m_worker->hasForeignRuns && isResponsive() && !isLeaseWithheld();
 }
 
+bool run_supervisor::isDraining() const
+{
+    return m_worker->draining || m_worker->hasDeparted;
+}
+
 bool run_supervisor::isLeaseWithheld() const
 {
     const steady_time now = m_time.steadyNow();
@@ -366,6 +379,8 @@
     m_refusedInstances.clear();
     if (m_contender) {
         discardWorker(run_outcome::worker_lost, "no answer and no lease, while another instance reports");
+    } else if (m_worker->hasDeparted) {
+        discardWorker(run_outcome::worker_lost, "no answer and no lease after its departure");
     }
 }
 
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -50,8 +50,9 @@
  * that it cannot begin any more. If the stops of a run that an entry or the agent stopped have no effect, the worker's lease is not renewed
  * and the run ends with it, because its job may already be assigned to another worker.
  *
- * A report may arrive after its sender has crashed, so the report of another instance does not show that the current one is gone. The
- * current one is asked: it gives way if another instance answers, if its host refuses the connection, or at the end of its lease.
+ * A report may arrive after its sender has crashed, so the report of another instance does not show that the current one is gone; nor does
+ * the announcement of its departure, which may precede the end of its runs. The current one is asked: it is given up if another instance
+ * answers, if its host refuses the connection, or at the end of its lease.
  */
 class run_supervisor
 {
@@ -63,7 +64,8 @@
     /// Handles a report of the worker. Returns false if it comes from an instance that is not the one at its address, as far as is known.
     bool handleReport(const worker_report &report);
 
-    /// Handles the announcement of a worker instance that it terminates. Ignores instances other than the current one.
+    /// Handles the announcement of a worker instance that it terminates. Ignores instances other than the current one. The worker gets no
+    /// more runs unless it reports again, and those that it has go on until it is known that they have ended.
     void handleDeparture(const std::string &workerInstance);
 
     /// Starts a run for a session on the given worker instance. Reports the result immediately if the run cannot begin.
@@ -147,7 +149,7 @@
     bool considerContender(const worker_report &report);
     /// Refuses the contender if the accepted renewal shows that the current worker lives.
     void refuseContender(std::uint64_t renewalNumber);
-    /// Lets the contender, if there is one, take the place of a worker that has no lease and does not answer.
+    /// Gives up a worker that has no lease and does not answer, if there is a contender to take its place or its departure was announced.
     void giveWay();
     /// Gives the worker up, because its runs cannot go on, and turns to the contender, if there is one.
     void discardWorker(run_outcome outcome, const std::string &reason);
@@ -167,6 +169,8 @@
     /// Ends all runs once the lease has expired even on the slowest clock.
     void checkLeaseExpiry();
     bool isResponsive() const;
+    /// Returns whether the current worker gets no more runs, because it drains or has announced its departure.
+    bool isDraining() const;
     /// Returns whether the lease must not be renewed, because a run did not end in spite of being stopped.
     bool isLeaseWithheld() const;
     /// Stops a run. After the timeout, the lease is withheld until the run has ended.
--- a/src/runs/tests/run_supervisor_test.cpp
+++ b/src/runs/tests/run_supervisor_test.cpp
@@ -434,3 +434,55 @@
     CHECK(test.supervisor->isReady());
     CHECK(test.worker.active().empty());
 }
+
+/// Guards against the announcement of a departure that counts as the end of all runs, so that they go on beside their copies.
+TEST_CASE("runs of a worker whose departure was announced are reported only when its host says that it is down")
+{
+    supervisor_fixture test;
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(50));
+    test.supervisor->handleDeparture("worker-1");
+    test.run(milliseconds(100));
+    CHECK_FALSE(test.hasResult(1));
+    CHECK(test.supervisor->status().draining);
+    test.order(2, "job.0.0.1");
+    CHECK(test.resultOf(2) == run_outcome::closed);
+    test.worker.renewalDelivery = fake_worker::order_delivery::refused;
+    test.run(milliseconds(50));
+    CHECK(test.resultOf(1) == run_outcome::worker_lost);
+    CHECK(test.supervisor->status().worker.empty());
+}
+
+/// Guards against runs that are reported as lost, for an announced departure, while their worker only hangs.
+TEST_CASE("runs of a worker that does not answer after its departure was announced are reported only after its lease")
+{
+    for (const fake_worker::order_delivery trouble : {fake_worker::order_delivery::unsent, fake_worker::order_delivery::lost}) {
+        supervisor_fixture test(0.98);
+        test.run(seconds(1));
+        test.order(1, "job.0.0.0");
+        test.run(milliseconds(50));
+        test.worker.renewalDelivery = trouble;
+        test.supervisor->handleDeparture("worker-1");
+        while (!test.hasResult(1)) {
+            test.run(supervisor_fixture::TICK);
+        }
+        CHECK(test.activeRunAtResult == run_key{});
+        CHECK(test.supervisor->status().worker.empty());
+    }
+}
+
+/// Guards against a live worker that is lost for good because somebody announced its departure.
+TEST_CASE("a worker that reports after its departure was announced is used again, and keeps its runs")
+{
+    supervisor_fixture test;
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(50));
+    test.supervisor->handleDeparture("worker-1");
+    test.run(milliseconds(50));
+    CHECK(test.supervisor->handleReport(test.worker.report()));
+    test.order(2, "job.0.0.1");
+    test.run(milliseconds(50));
+    CHECK(test.results.empty());
+    CHECK(test.worker.active().size() == 2);
+    CHECK_FALSE(test.supervisor->status().draining);
+}
