A report that names another address for the current worker does not take its runs away

What callers would see: two runs of a task at the same time. A report with the id of the current worker and another address, of another writer, say, replaced the address that the agent calls. Nothing listens there, the refused connection counted as the end of all runs, and the live worker at the known address ran on beside the copies until its lease ended.

Evidence: runs-test, "a report that names another address ...", failed on (all runs lost, worker not ready); passes now.

Why it works: a worker is identified by its id and its address (worker_identity). A report that differs in either is that of a contender, and the current worker is asked first, as since. What is known of contenders has its own class, contender_tracker, without the network.

--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -30,9 +30,6 @@
 /// Time after a loss for which several renewals are kept pending.
 constexpr milliseconds LOSS_RECOVERY_TIME{3000};
 
-/// Limit on the remembered instances whose reports are refused. When it is reached, all of them are forgotten.
-constexpr std::size_t MAX_REFUSED_INSTANCES = 64;
-
 }
 
 std::string_view workerReplyName(worker_reply reply)
@@ -102,6 +99,7 @@
     , m_client(client)
     , m_listener(listener)
     , m_journal(journal)
+    , m_contenders(journal)
 {
 }
 
@@ -113,7 +111,7 @@
         registerWorker(report);
         return true;
     }
-    if (m_worker->report.workerInstance != report.workerInstance) {
+    if (m_worker->report.identity() != report.identity()) {
         return considerContender(report);
     }
     if (report.sequence < m_worker->report.sequence) {
@@ -139,8 +137,8 @@
         m_journal.note("worker_departing", {{"worker", workerInstance}, {"runs", std::to_string(m_runs.size())}});
         m_worker->hasDeparted = true;
         renew(milliseconds(0));
-    } else if (m_contender && m_contender->report.workerInstance == workerInstance) {
-        m_contender.reset();
+    } else {
+        m_contenders.removeDeparted(workerInstance);
     }
 }
 
@@ -323,7 +321,7 @@
 {
     m_worker = std::make_unique<tracked_worker>(m_time, report);
     m_worker->registration = ++m_lastRegistration;
-    m_refusedInstances.erase(report.workerInstance);
+    m_contenders.forgetRefused(report.identity());
     m_worker->coldUntil = m_time.steadyNow() + report.coldRemaining;
     m_forecast = {};
     m_journal.note("worker_known",
@@ -335,49 +333,29 @@
 {
     m_journal.note("worker_lost",
                    {{"worker", m_worker->report.workerInstance}, {"reason", reason}, {"runs", std::to_string(m_runs.size())}});
-    m_refusedInstances = {m_worker->report.workerInstance};
-    const std::optional<contender> successor = std::exchange(m_contender, std::nullopt);
+    const std::optional<worker_report> successor = m_contenders.takeSuccessor(m_worker->report.identity());
     m_worker.reset();
     while (!m_runs.empty()) {
         endRun(m_runs.begin(), outcome);
     }
     if (successor) {
-        registerWorker(successor->report);
+        registerWorker(*successor);
     }
 }
 
 bool run_supervisor::considerContender(const worker_report &report)
 {
-    if (m_refusedInstances.contains(report.workerInstance)) {
-        return false;
-    }
-    if (m_contender && m_contender->report.workerInstance == report.workerInstance) {
-        m_contender->report = report;
-        return true;
-    }
-    m_journal.note("another_worker_reported", {{"worker", m_worker->report.workerInstance}, {"other", report.workerInstance}});
-    m_contender = contender{report, m_worker->lastRenewalNumber + 1};
-    renew(milliseconds(0));
-    return true;
-}
-
-void run_supervisor::refuseContender(std::uint64_t renewalNumber)
-{
-    if (!m_contender || renewalNumber < m_contender->questionNumber) {
-        return;
-    }
-    m_journal.note("other_worker_refused", {{"worker", m_worker->report.workerInstance}, {"other", m_contender->report.workerInstance}});
-    if (m_refusedInstances.size() >= MAX_REFUSED_INSTANCES) {
-        m_refusedInstances.clear();
+    const contender_verdict verdict = m_contenders.consider(report, m_worker->report, m_worker->lastRenewalNumber + 1);
+    if (verdict == contender_verdict::ask) {
+        renew(milliseconds(0));
     }
-    m_refusedInstances.insert(m_contender->report.workerInstance);
-    m_contender.reset();
+    return verdict != contender_verdict::refused;
 }
 
 void run_supervisor::giveWay()
 {
-    m_refusedInstances.clear();
-    if (m_contender) {
+    m_contenders.forgetRefused();
+    if (m_contenders.hasContender()) {
         discardWorker(run_outcome::worker_lost, "no answer and no lease, while another instance reports");
     } else if (m_worker->hasDeparted) {
         discardWorker(run_outcome::worker_lost, "no answer and no lease after its departure");
@@ -510,7 +488,7 @@
     }
     m_worker->clock.addSample(response.clock);
     m_worker->lastAnswer = m_time.steadyNow();
-    refuseContender(renewalNumber);
+    m_contenders.recordAcceptedRenewal(renewalNumber, m_worker->report);
     processEndedRuns(response.ended);
     if (renewalNumber > m_worker->newestAnsweredRenewal) {
         m_worker->newestAnsweredRenewal = renewalNumber;
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -5,12 +5,12 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "base/decision_journal.h"
 #include "runs/capacity_forecast.h"
+#include "runs/contender_tracker.h"
 #include "runs/worker_client.h"
 
 namespace azuremoor
@@ -61,7 +61,7 @@
         const time_source &time, lease_timing leases, worker_client &client, run_result_listener &listener, decision_journal &journal);
     ~run_supervisor();
 
-    /// Handles a report of the worker. Returns false if it comes from an instance that is not the one at its address, as far as is known.
+    /// Handles a report of the worker. Returns false if it comes from a worker that is not the one of this machine, as far as is known.
     bool handleReport(const worker_report &report);
 
     /// Handles the announcement of a worker instance that it terminates. Ignores instances other than the current one. The worker gets no
@@ -136,19 +136,11 @@
         steady_time startedAt;
     };
     struct tracked_worker;
-    /// An instance that has reported while another one is the current one.
-    struct contender {
-        worker_report report;
-        /// Number of the first renewal that was sent after the report. If it or a later one is accepted, the current worker lives.
-        std::uint64_t questionNumber = 0;
-    };
     using run_map = std::map<run_key, supervised_run>;
 
     void registerWorker(const worker_report &report);
-    /// Handles a report of an instance other than the current one. Returns false if it is refused.
+    /// Handles a report of a worker other than the current one. Returns false if it is refused.
     bool considerContender(const worker_report &report);
-    /// Refuses the contender if the accepted renewal shows that the current worker lives.
-    void refuseContender(std::uint64_t renewalNumber);
     /// Gives up a worker that has no lease and does not answer, if there is a contender to take its place or its departure was announced.
     void giveWay();
     /// Gives the worker up, because its runs cannot go on, and turns to the contender, if there is one.
@@ -186,9 +178,7 @@
     run_result_listener &m_listener;
     decision_journal &m_journal;
     std::unique_ptr<tracked_worker> m_worker;
-    std::optional<contender> m_contender;
-    /// Instances whose reports are refused as long as the current worker lives.
-    std::set<std::string> m_refusedInstances;
+    contender_tracker m_contenders;
     /// Number of the last registration of a worker. An instance that was given up can be registered again.
     std::uint64_t m_lastRegistration = 0;
     run_map m_runs;
--- a/src/runs/tests/fake_worker.h
+++ b/src/runs/tests/fake_worker.h
@@ -43,7 +43,7 @@
         worker_report result;
         result.workerInstance = name;
         result.service = "desk";
-        result.address = "127.0.0.1:1";
+        result.address = address;
         result.labels = {"a", "r1"};
         result.capacity = capacity;
         result.draining = draining;
@@ -147,6 +147,8 @@
     }
 
     std::string name = "worker-1";
+    /// The address at which it answers. Connections to others are refused.
+    std::string address = "127.0.0.1:1";
     task_shape capacity{4000, 4096, 0};
     double clockRate = 1;
     order_delivery startDelivery = order_delivery::answered;
@@ -186,6 +188,9 @@
     worker_reply check(const request_context &context)
     {
         expire();
+        if (context.address != address) {
+            return worker_reply::connection_refused;
+        }
         if (checksInstance && context.workerInstance != name) {
             return worker_reply::wrong_worker;
         }
--- a/src/runs/tests/run_supervisor_test.cpp
+++ b/src/runs/tests/run_supervisor_test.cpp
@@ -486,3 +486,36 @@
     CHECK(test.worker.active().size() == 2);
     CHECK_FALSE(test.supervisor->status().draining);
 }
+
+/// Guards against a live worker that is given up because nothing listens at an address that another writer has reported for it.
+TEST_CASE("a report that names another address for the current worker leaves its runs in place, and is refused")
+{
+    supervisor_fixture test;
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(50));
+    worker_report misleading = test.worker.report();
+    misleading.address = "127.0.0.1:2";
+    test.supervisor->handleReport(misleading);
+    test.run(milliseconds(100));
+    CHECK(test.results.empty());
+    CHECK(test.supervisor->isReady());
+    CHECK(test.worker.active().size() == 1);
+    CHECK_FALSE(test.supervisor->handleReport(misleading));
+    CHECK(test.supervisor->handleReport(test.worker.report()));
+}
+
+/// Guards against a worker that is lost for good because it has moved to another address.
+TEST_CASE("a worker that has moved to another address is used there once its former address refuses connections")
+{
+    supervisor_fixture test;
+    test.order(1, "job.0.0.0");
+    test.run(milliseconds(50));
+    test.worker.restart("worker-1");
+    test.worker.address = "127.0.0.1:2";
+    test.supervisor->handleReport(test.worker.report());
+    test.run(milliseconds(100));
+    CHECK(test.resultOf(1) == run_outcome::worker_lost);
+    CHECK(test.supervisor->handleReport(test.worker.report()));
+    test.run(milliseconds(100));
+    CHECK(test.supervisor->isReady());
+}
--- a/src/runs/worker_client.h
+++ b/src/runs/worker_client.h
@@ -16,6 +16,14 @@
 /// Time on a worker's own steady clock, in milliseconds since an unknown epoch.
 using worker_milliseconds = std::int64_t;
 
+/// Identifies a worker at its address. Another worker at the same address, or the same one at another address, is a different one.
+struct worker_identity {
+    std::string instance;
+    std::string address;
+
+    auto operator<=>(const worker_identity &) const = default;
+};
+
 /// Periodic report of a worker about itself.
 struct worker_report {
     /// Identifier of the worker instance; differs after each restart.
@@ -31,6 +39,11 @@
     std::uint64_t sequence = 0;
     /// How much longer the worker is slow after its start, as of the report.
     milliseconds coldRemaining{0};
+
+    worker_identity identity() const
+    {
+        return {workerInstance, address};
+    }
 };
 
 /// Identifies a run on a worker.
