Runs of an agent's other processes end only when their own worker is ready, or with their lease

What callers would see: two runs of a task at the same time, in two ways. An agent restarts and reports another worker instance as ready than the one that its former process had given runs to; or the introduction of a dead process of an agent arrives late, between two connections of the live one. In both the entry took "ready" for the end of runs that it says nothing about, and started their tasks again.

The case that runs have ended once the restarted agent says that their worker is ready is unchanged and passes.

Why it works: an entry keeps a session for each process of an agent, with the worker instance that its runs were ordered for. A ready worker ends the runs that were ordered for itself only, since it runs nothing else then; all others wait for the end of the lease. When the process introduces itself again, its session is taken up with its runs and numbers.

--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -285,6 +285,55 @@
     CHECK(test.orderedRuns.size() == 2);
 }
 
+/// Guards against runs that are started again because the restarted agent is ready, while their worker, which is another one, goes on.
+TEST_CASE("runs of an agent's earlier process go on until their lease ends if its new process has another worker")
+{
+    dispatcher_fixture test;
+    test.addWorker("one");
+    test.submit(1, "job");
+    test.pool.disconnectAgent("one");
+    test.pool.connectAgent({"one", member_role::agent, 2, "dc", ""});
+    worker_status status = test.pool.workers().at("one").status;
+    status.ready = true;
+    status.worker = "other-worker";
+    status.service = "desk";
+    status.labels = {"a", "r1"};
+    status.capacity = {4000, 4096, 0};
+    status.free = status.capacity;
+    test.pool.updateStatus("one", status);
+    const agent_timeouts timeouts;
+    test.advanceTime(std::chrono::duration_cast<milliseconds>(timeouts.runsEndedAfter) - milliseconds(1));
+    CHECK(test.orderedRuns.size() == 1);
+    test.advanceTime(milliseconds(1));
+    CHECK(test.orderedRuns.size() == 2);
+}
+
+/// Guards against runs that are started again because the late introduction of a dead process of their agent was followed by another one
+/// of the live process.
+TEST_CASE("runs of a live agent go on when a late introduction of an earlier process of it arrives between two of its own")
+{
+    dispatcher_fixture test;
+    test.addWorker("one", 4000, 2);
+    test.submit(1, "job");
+    REQUIRE(test.orderedRuns.size() == 1);
+    worker_status status = test.pool.workers().at("one").status;
+    status.appliedOrder = 1;
+    test.pool.disconnectAgent("one");
+    test.pool.connectAgent({"one", member_role::agent, 1, "dc", ""});
+    test.pool.disconnectAgent("one");
+    test.pool.connectAgent({"one", member_role::agent, 2, "dc", ""});
+    test.pool.updateStatus("one", status);
+    test.dispatcher.placeWaitingTasks();
+    CHECK(test.orderedRuns.size() == 1);
+    const agent_timeouts timeouts;
+    for (microseconds passed{0}; passed < timeouts.runsEndedAfter; passed += milliseconds(100)) {
+        test.advanceTime(milliseconds(100));
+    }
+    CHECK(test.orderedRuns.size() == 1);
+    test.reportRunEnd(0, run_outcome::done);
+    CHECK(test.answers.at(1).kind == answer_kind::completed);
+}
+
 TEST_CASE("orders that were lost with a connection are repeated on the next one")
 {
     dispatcher_fixture test;
--- a/src/dispatch/worker_pool.cpp
+++ b/src/dispatch/worker_pool.cpp
@@ -113,7 +113,8 @@
 {
     pooled_worker &worker = m_workers[agent.name];
     if (worker.incarnation != agent.incarnation) {
-        moveToOrphanedRuns(worker);
+        leaveSession(worker, m_timeouts.runsEndedAfter);
+        resumeSession(worker, agent.incarnation);
     }
     const bool hasRestarted = worker.incarnation != 0 && worker.incarnation != agent.incarnation;
     worker.agent = agent.name;
@@ -169,6 +170,7 @@
             worker.lastResultNumber = 0;
         }
         endUnreceivedOrders(worker, status.appliedOrder);
+        worker.lastOrderSequence = std::max(worker.lastOrderSequence, status.appliedOrder);
         resendStops(worker);
     }
     if (worker.status.worker != status.worker) {
@@ -178,7 +180,7 @@
     worker.status = status;
     worker.endedSinceReport = {0, 0, 0};
     if (status.ready) {
-        endOrphanedRuns(worker, "restarted agent is ready");
+        endFormerSessionsOf(worker, status.worker);
     }
     worker.statusReceivedAt = m_time.steadyNow();
     worker.coldUntil = worker.statusReceivedAt + milliseconds(status.coldMilliseconds);
@@ -326,13 +328,11 @@
         if (!worker.runs.empty() && now >= worker.leaseRenewal() + m_timeouts.runsEndedAfter) {
             endRunsOfSilentAgent(worker);
         }
-        if (!worker.orphanedRuns.empty() && now >= worker.orphanedRunsEndBy) {
-            endOrphanedRuns(worker, "lease expired");
-        }
+        endLapsedFormerSessions(worker, now);
     }
     std::erase_if(m_workers, [now](const auto &each) {
         const pooled_worker &worker = each.second;
-        return !worker.isConnected && worker.runs.empty() && worker.orphanedRuns.empty()
+        return !worker.isConnected && worker.runs.empty() && worker.formerSessions.empty()
             && now >= worker.lastHeartbeatAt + WORKER_RETENTION;
     });
 }
@@ -446,15 +446,16 @@
     }
 }
 
-void worker_pool::moveToOrphanedRuns(pooled_worker &worker)
+void worker_pool::leaveSession(pooled_worker &worker, microseconds runsEndedAfter)
 {
-    for (const auto &[sequence, run] : worker.runs) {
-        worker.orphanedRuns.push_back(run);
-    }
     if (!worker.runs.empty()) {
-        worker.orphanedRunsEndBy = std::max(worker.orphanedRunsEndBy, worker.leaseRenewal() + m_timeouts.runsEndedAfter);
+        worker.formerSessions.push_back({worker.incarnation,
+                                         worker.status.worker,
+                                         std::exchange(worker.runs, {}),
+                                         worker.lastOrderSequence,
+                                         worker.lastResultNumber,
+                                         worker.leaseRenewal() + runsEndedAfter});
     }
-    worker.runs.clear();
     worker.lastOrderSequence = 0;
     worker.lastResultNumber = 0;
     worker.agentClock.reset();
@@ -463,20 +464,48 @@
     worker.endedSinceReport = {0, 0, 0};
 }
 
-void worker_pool::endOrphanedRuns(pooled_worker &worker, const std::string &reason)
+void worker_pool::resumeSession(pooled_worker &worker, std::uint64_t incarnation)
 {
-    if (worker.orphanedRuns.empty()) {
+    const auto found = std::ranges::find(worker.formerSessions, incarnation, &pooled_worker::former_session::incarnation);
+    if (found == worker.formerSessions.end()) {
         return;
     }
-    m_journal.note("runs_presumed_ended",
-                   {{"agent", worker.agent}, {"reason", reason}, {"runs", std::to_string(worker.orphanedRuns.size())}});
-    const std::vector<pooled_worker::outstanding_run> orphanedRuns = std::move(worker.orphanedRuns);
-    worker.orphanedRuns.clear();
-    for (const pooled_worker::outstanding_run &run : orphanedRuns) {
+    worker.runs = std::move(found->runs);
+    worker.lastOrderSequence = found->lastOrderSequence;
+    worker.lastResultNumber = found->lastResultNumber;
+    worker.status.worker = found->workerInstance;
+    worker.formerSessions.erase(found);
+}
+
+void worker_pool::endFormerSession(pooled_worker &worker, std::size_t position, const std::string &reason)
+{
+    const auto found = worker.formerSessions.begin() + static_cast<std::ptrdiff_t>(position);
+    const pooled_worker::former_session session = std::move(*found);
+    worker.formerSessions.erase(found);
+    m_journal.note("runs_presumed_ended", {{"agent", worker.agent}, {"reason", reason}, {"runs", std::to_string(session.runs.size())}});
+    for (const auto &[sequence, run] : session.runs) {
         m_listener->handleRunEnd(run.task, run_outcome::lapsed, worker.agent);
     }
 }
 
+void worker_pool::endFormerSessionsOf(pooled_worker &worker, const std::string &workerInstance)
+{
+    for (std::size_t position = worker.formerSessions.size(); position-- > 0;) {
+        if (worker.formerSessions[position].workerInstance == workerInstance) {
+            endFormerSession(worker, position, "restarted agent is ready");
+        }
+    }
+}
+
+void worker_pool::endLapsedFormerSessions(pooled_worker &worker, steady_time now)
+{
+    for (std::size_t position = worker.formerSessions.size(); position-- > 0;) {
+        if (now >= worker.formerSessions[position].runsEndBy) {
+            endFormerSession(worker, position, "lease expired");
+        }
+    }
+}
+
 void worker_pool::endRunsOfSilentAgent(pooled_worker &worker)
 {
     m_journal.note("runs_presumed_ended",
--- a/src/dispatch/worker_pool.h
+++ b/src/dispatch/worker_pool.h
@@ -64,6 +64,18 @@
         std::string origin;
     };
 
+    /// The runs that were ordered from another process of the agent than the one that introduced itself last. They have ended once a
+    /// process reports that the worker instance for which they were ordered is ready, because it runs nothing else then; or at `runsEndBy`.
+    struct former_session {
+        std::uint64_t incarnation = 0;
+        std::string workerInstance;
+        std::map<std::uint64_t, outstanding_run> runs;
+        std::uint64_t lastOrderSequence = 0;
+        std::uint64_t lastResultNumber = 0;
+        /// When the runs have ended at the latest.
+        steady_time runsEndBy;
+    };
+
     std::string agent;
     /// Identifies the process of the agent; 0 before its first introduction.
     std::uint64_t incarnation = 0;
@@ -90,11 +102,8 @@
     task_shape endedSinceReport{0, 0, 0};
     /// Outstanding runs by the sequence of their orders.
     std::map<std::uint64_t, outstanding_run> runs;
-    /// Runs that were ordered from an earlier process of the agent. They have ended once the new process reports that the worker
-    /// is ready, or at `orphanedRunsEndBy`.
-    std::vector<outstanding_run> orphanedRuns;
-    /// When the orphaned runs have ended at the latest.
-    steady_time orphanedRunsEndBy;
+    /// Sessions with other processes of the agent whose runs may be active.
+    std::vector<former_session> formerSessions;
     worker_performance performance;
     /// The worker's data centre is evacuated. The worker gets no orders and counts as absent.
     bool isEvacuated = false;
@@ -250,8 +259,14 @@
     void updateProgress(pooled_worker &worker, const std::vector<run_progress> &progress);
     void recordRunProgress(pooled_worker &worker, const run_progress &progress);
     void sendDemand();
-    void moveToOrphanedRuns(pooled_worker &worker);
-    void endOrphanedRuns(pooled_worker &worker, const std::string &reason);
+    /// Ends the session with the agent's process, and keeps its runs as those of a former session.
+    static void leaveSession(pooled_worker &worker, microseconds runsEndedAfter);
+    /// Takes the session with the process up again if its introduction was followed by a late one of another process.
+    static void resumeSession(pooled_worker &worker, std::uint64_t incarnation);
+    void endFormerSession(pooled_worker &worker, std::size_t position, const std::string &reason);
+    /// Ends the former sessions whose runs were ordered for the worker instance.
+    void endFormerSessionsOf(pooled_worker &worker, const std::string &workerInstance);
+    void endLapsedFormerSessions(pooled_worker &worker, steady_time now);
     void endRunsOfSilentAgent(pooled_worker &worker);
     void recordCapacityChange(const pooled_worker &worker);
     void endRun(pooled_worker &worker, std::uint64_t sequence, run_outcome outcome);
