A late introduction on an older connection does not replace a peer that has connected again since

What callers would see: two runs of a task at the same time. A process that has died may leave an introduction and a first status in a connection that was held up; they arrive after its successor has connected. The entry closed the successor's connection, took the dead process for the present one, and its status for what became of the orders.

Evidence: transport-test, "an introduction on an older connection ...", failed before this change (the peer was replaced, its messages handed on); passes now.

Why it works: a process connects again only after its former connection, so of two accepted connections the one that was accepted first is the older one, whatever arrives first. A connection that this process dialled itself replaces the other as before.

--- a/src/transport/peer_mesh.cpp
+++ b/src/transport/peer_mesh.cpp
@@ -210,7 +210,7 @@
     auto link = std::make_unique<peer_link>(connection, *mesh);
     link->setTimeouts(mesh->m_silenceTimeout, mesh->m_silenceTimeout);
     peer_link *key = link.get();
-    mesh->m_links[key] = {std::move(link), {}, {}, {}, false};
+    mesh->m_links[key] = {std::move(link), {}, {}, {}, false, ++mesh->m_acceptedLinks};
     mesh->sendOn(*key, mesh->m_self);
 }
 
@@ -256,9 +256,15 @@
         ++m_counters.droppedMalformed;
         return;
     }
-    const auto earlier = m_byName.find(value.name);
-    if (earlier != m_byName.end()) {
-        closeEntry(m_links.at(earlier->second));
+    const auto known = m_byName.find(value.name);
+    if (known != m_byName.end()) {
+        link_entry &other = m_links.at(known->second);
+        if (entry.acceptNumber != 0 && entry.acceptNumber < other.acceptNumber) {
+            // The peer has connected again since, so the introduction is late, maybe that of an earlier process.
+            closeEntry(entry);
+            return;
+        }
+        closeEntry(other);
     }
     entry.peer = value.name;
     entry.role = value.role;
@@ -279,7 +285,7 @@
     auto link = std::make_unique<peer_link>(connection, *this);
     link->setTimeouts(m_silenceTimeout, m_connectTimeout);
     peer_link *key = link.get();
-    m_links[key] = {std::move(link), name, {}, {}, false};
+    m_links[key] = {std::move(link), name, {}, {}, false, 0};
     if (bufferevent_socket_connect(connection, reinterpret_cast<const sockaddr *>(&target->storage), target->length) != 0) {
         closeEntry(m_links.at(key));
         return;
--- a/src/transport/peer_mesh.h
+++ b/src/transport/peer_mesh.h
@@ -60,8 +60,8 @@
 /**
  * All TCP connections between this process and other processes of the fleet, by name.
  *
- * Each side introduces itself first. A second connection with the same name takes the place of the first. Messages to this
- * process itself come back through the event loop.
+ * Each side introduces itself first. A second connection with the same name takes the place of the first, unless it was accepted before
+ * that one: then its introduction is late. Messages to this process itself come back through the event loop.
  */
 class peer_mesh : public peer_outbox, public peer_link_handler
 {
@@ -111,6 +111,8 @@
         std::string peer;
         member_role role = member_role::entry;
         bool closed = false;
+        /// Position among the accepted connections, from 1; 0 for a dialled one.
+        std::uint64_t acceptNumber = 0;
     };
 
     static void accept(evconnlistener *, int socket, sockaddr *, int, void *argument);
@@ -145,6 +147,8 @@
     std::set<peer_link *> m_unflushedLinks;
     event *m_flushEvent;
     bool m_isFlushScheduled = false;
+    /// Number of connections that were accepted.
+    std::uint64_t m_acceptedLinks = 0;
     /// Whether messages have arrived since the handler's latest flush.
     bool m_isHandlerFlushDue = false;
     mesh_counters m_counters;
