Boots of a worker under one id are told apart by their start

Cause: nothing read `born`, the start that an executor states in its reports and lists. The new boot's reports were dropped for their lower sequence, its clock and the numbers of its ends were ignored, and ends were acknowledged unseen.

A report of another boot is that of a contender. When a list states another boot, the agent turns to it: it is used once it has reported. Starts that were sent to the former boot may have reached the new one, so that their runs are neither lost nor known: the new boot is asked with a higher fencing token, which refuses late starts, and what it lists decides. A lease that such a start began ends within the longest lease that workers grant. Which boot is newer is never decided by the order of the starts, since clocks are set back; a test has the later boot state an earlier time.

--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -55,10 +55,10 @@
 
 /// State of the current worker instance.
 struct run_supervisor::tracked_worker {
-    tracked_worker(const time_source &time, const worker_report &firstReport)
+    tracked_worker(const time_source &time, const worker_report &firstReport, std::uint64_t minFencingToken)
         : report(firstReport)
-        // The clock of a worker instance never goes back, so a later agent process gets a higher token.
-        , fencingToken(static_cast<std::uint64_t>(std::max<worker_milliseconds>(firstReport.clock, 1)))
+        // The clock of a boot of the worker never goes back, so a later agent process gets a higher token.
+        , fencingToken(std::max({static_cast<std::uint64_t>(firstReport.clock), minFencingToken, std::uint64_t{1}}))
         , draining(firstReport.draining)
         , clock(time, firstReport.clock)
     {
@@ -68,6 +68,8 @@
     std::uint64_t registration = 0;
     std::uint64_t fencingToken = 0;
     bool draining = false;
+    /// This boot has reported, so that its service, labels and capacity are known.
+    bool hasReported = true;
     /// The worker's departure was announced, and it has not reported since.
     bool hasDeparted = false;
     /// Until when the worker is slow after its start.
@@ -118,6 +120,7 @@
         return true;
     }
     m_worker->report = report;
+    m_worker->hasReported = true;
     m_worker->hasDeparted = false;
     if (!m_worker->hasLease) {
         // The instance may have been registered by a late report, whose clock is behind the tokens that it has seen.
@@ -296,7 +299,8 @@
 
 bool run_supervisor::isReady() const
 {
-    return m_worker != nullptr && m_worker->hasLease && !m_worker->hasForeignRuns && isResponsive() && !isLeaseWithheld();
+    return m_worker != nullptr && m_worker->hasReported && m_worker->hasLease && !m_worker->hasForeignRuns && isResponsive()
+        && !isLeaseWithheld();
 }
 
 bool run_supervisor::isDraining() const
@@ -317,9 +321,9 @@
     return m_time.steadyNow() < m_worker->lastAnswer + 2 * m_leases.renewalInterval;
 }
 
-void run_supervisor::registerWorker(const worker_report &report)
+void run_supervisor::registerWorker(const worker_report &report, std::uint64_t minFencingToken)
 {
-    m_worker = std::make_unique<tracked_worker>(m_time, report);
+    m_worker = std::make_unique<tracked_worker>(m_time, report, minFencingToken);
     m_worker->registration = ++m_lastRegistration;
     m_contenders.forgetRefused(report.identity());
     m_worker->coldUntil = m_time.steadyNow() + report.coldRemaining;
@@ -343,6 +347,35 @@
     }
 }
 
+void run_supervisor::followReboot(const lease_response &response)
+{
+    const worker_report former = m_worker->report;
+    m_journal.note("worker_rebooted",
+                   {{"worker", former.workerInstance},
+                    {"boot", std::to_string(response.boot)},
+                    {"former_boot", std::to_string(former.boot)},
+                    {"runs", std::to_string(m_runs.size())}});
+    worker_report booted;
+    booted.workerInstance = former.workerInstance;
+    booted.address = former.address;
+    booted.boot = response.boot;
+    booted.clock = response.clock;
+    const std::optional<worker_report> reported = m_contenders.takeSuccessor(former.identity());
+    const bool hasReported = reported && reported->identity() == booted.identity();
+    registerWorker(hasReported ? *reported : booted, m_worker->fencingToken + 1);
+    m_worker->hasReported = hasReported;
+    if (m_runs.empty()) {
+        return;
+    }
+    // A start that reached the new boot has begun a lease there, whose deadline was one on the former boot's clock.
+    m_worker->clock.extendLease(response.clock + m_leases.longestWorkerLease.count());
+    for (auto &[key, run] : m_runs) {
+        run.isOfFormerBoot = true;
+        run.isStopConfirmed = false;
+        run.firstConclusiveRenewal = m_worker->lastRenewalNumber;
+    }
+}
+
 bool run_supervisor::considerContender(const worker_report &report)
 {
     const contender_verdict verdict = m_contenders.consider(report, m_worker->report, m_worker->lastRenewalNumber + 1);
@@ -478,6 +511,10 @@
         discardWorker(run_outcome::worker_lost, "another instance answered, or nothing listens at its address");
         return;
     }
+    if (response.reply == worker_reply::accepted && response.boot != 0 && response.boot != m_worker->report.boot) {
+        followReboot(response);
+        return;
+    }
     if (response.reply != worker_reply::accepted) {
         m_worker->lossRecoveryEnd = m_time.steadyNow() + LOSS_RECOVERY_TIME;
         m_journal.note("renewal_failed", {{"worker", workerInstance}, {"reply", std::string(workerReplyName(response.reply))}});
@@ -526,6 +563,7 @@
         const auto found = m_runs.find(listed.run);
         if (found != m_runs.end()) {
             found->second.percent = listed.percent;
+            found->second.isOfFormerBoot = false;
         }
     }
     std::vector<run_key> endedKeys;
@@ -538,7 +576,7 @@
     }
     for (const run_key &key : endedKeys) {
         const auto found = m_runs.find(key);
-        endRun(found, run_outcome::stopped);
+        endRun(found, found->second.isOfFormerBoot ? run_outcome::worker_lost : run_outcome::stopped);
     }
 }
 
@@ -570,7 +608,9 @@
 
 void run_supervisor::checkLeaseExpiry()
 {
-    if (m_time.steadyNow() < m_worker->clock.latestLeaseEnd() + STOP_MARGIN || !m_worker->hasLease) {
+    // Runs without a lease are those of a former boot.
+    const bool mayHaveRuns = m_worker->hasLease || !m_runs.empty();
+    if (m_time.steadyNow() < m_worker->clock.latestLeaseEnd() + STOP_MARGIN || !mayHaveRuns) {
         return;
     }
     m_worker->hasLease = false;
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -20,6 +20,8 @@
 struct lease_timing {
     /// Length of the worker's lease, counted from its last renewal.
     milliseconds workerLease{600};
+    /// Longest lease that a worker grants. It shortens longer ones.
+    milliseconds longestWorkerLease{1000};
     /// Length of an entry's lease at an agent, counted from the sending of the last heartbeat that the entry answered.
     milliseconds entryLease{450};
     /// Time after which an unanswered request to the worker has the reply `unknown`.
@@ -134,11 +136,17 @@
         std::uint8_t percent = 0;
         microseconds estimate{0};
         steady_time startedAt;
+        /// The run was ordered from an earlier boot of the worker, and the present boot has not listed it.
+        bool isOfFormerBoot = false;
     };
     struct tracked_worker;
     using run_map = std::map<run_key, supervised_run>;
 
-    void registerWorker(const worker_report &report);
+    /// Makes the worker the current one, with a fencing token that is not lower than the given one.
+    void registerWorker(const worker_report &report, std::uint64_t minFencingToken = 0);
+    /// Turns to another boot of the current worker, which has answered under the same identifier. Starts that were sent to the former boot
+    /// may have reached the new one, so each run goes on until the new boot, asked with a higher fencing token, does not list it.
+    void followReboot(const lease_response &response);
     /// Handles a report of a worker other than the current one. Returns false if it is refused.
     bool considerContender(const worker_report &report);
     /// Gives up a worker that has no lease and does not answer, if there is a contender to take its place or its departure was announced.
--- a/src/runs/tests/fake_worker.h
+++ b/src/runs/tests/fake_worker.h
@@ -42,9 +42,10 @@
     {
         worker_report result;
         result.workerInstance = name;
+        result.boot = boot;
         result.service = "desk";
         result.address = address;
-        result.labels = {"a", "r1"};
+        result.labels = labels;
         result.capacity = capacity;
         result.draining = draining;
         result.clock = clock();
@@ -61,10 +62,18 @@
         }
     }
 
+    /// What becomes of the requests that are delayed at a restart.
+    enum class delayed_requests {
+        /// They reach the new instance.
+        kept,
+        lost,
+    };
+
     /// Starts a new instance, which runs nothing and knows no fencing token.
-    void restart(const std::string &newName)
+    void restart(const std::string &newName, delayed_requests delayed = delayed_requests::kept)
     {
         name = newName;
+        m_lossesOfDelayed += delayed == delayed_requests::lost ? 1 : 0;
         m_active.clear();
         m_ended.clear();
         m_highestEndedNumber.clear();
@@ -81,6 +90,12 @@
         return 1000 + static_cast<worker_milliseconds>(static_cast<double>(age) * clockRate);
     }
 
+    /// Ends the process that has called so far: its calls are carried out, but it gets no more answers.
+    void dropPendingAnswers()
+    {
+        ++m_callers;
+    }
+
     /// Ends all runs if the lease has expired. Must be called before the state is read.
     void expire()
     {
@@ -115,8 +130,14 @@
             stopDelivery, [this, context, run] { return stop(context, run); }, done);
     }
 
-    void renewLease(const request_context &context, const lease_request &request, std::function<void(const lease_response &)> done) override
+    void
+    renewLease(const request_context &context, const lease_request &request, std::function<void(const lease_response &)> answer) override
     {
+        const auto done = [this, answer = std::move(answer), caller = m_callers](const lease_response &response) {
+            if (caller == m_callers) {
+                answer(response);
+            }
+        };
         // Does not wait for a run to end, and answers after at most 10 ms.
         const milliseconds wait = std::min(request.wait, milliseconds(10));
         m_time.after(wait, [this, context, request, done] {
@@ -137,6 +158,7 @@
                 m_time.after(REPLY_TIMEOUT, [done] { done(lease_response{}); });
                 return;
             }
+            response.boot = boot;
             response.clock = clock();
             for (const run_key &key : m_active) {
                 response.active.push_back({key, 0});
@@ -149,6 +171,9 @@
     std::string name = "worker-1";
     /// The address at which it answers. Connections to others are refused.
     std::string address = "127.0.0.1:1";
+    /// Distinguishes boots under the same name; 0 if it is not stated.
+    std::int64_t boot = 0;
+    std::vector<std::string> labels = {"a", "r1"};
     task_shape capacity{4000, 4096, 0};
     double clockRate = 1;
     order_delivery startDelivery = order_delivery::answered;
@@ -167,15 +192,31 @@
 
 private:
     static constexpr milliseconds REPLY_TIMEOUT{150};
+    /// Longer leases are shortened to this.
+    static constexpr milliseconds LONGEST_LEASE{1000};
 
-    void perform(order_delivery delivery, const std::function<worker_reply()> &request, const std::function<void(worker_reply)> &done)
+    void extendLease(worker_milliseconds deadline)
     {
+        m_leaseDeadline = std::max(m_leaseDeadline, std::min(deadline, clock() + LONGEST_LEASE.count()));
+    }
+
+    void perform(order_delivery delivery, const std::function<worker_reply()> &request, const std::function<void(worker_reply)> &answer)
+    {
+        const auto done = [this, answer, caller = m_callers](worker_reply reply) {
+            if (caller == m_callers) {
+                answer(reply);
+            }
+        };
         if (delivery == order_delivery::answered) {
             m_time.after(microseconds(300), [request, done] { done(request()); });
             return;
         }
         if (delivery == order_delivery::delayed) {
-            m_time.after(orderDelay, [request] { request(); });
+            m_time.after(orderDelay, [this, request, losses = m_lossesOfDelayed] {
+                if (losses == m_lossesOfDelayed) {
+                    request();
+                }
+            });
         }
         if (delivery == order_delivery::refused) {
             m_time.after(microseconds(300), [done] { done(worker_reply::connection_refused); });
@@ -210,7 +251,7 @@
         if (checksStartDeadline && deadline <= clock()) {
             return worker_reply::late;
         }
-        m_leaseDeadline = std::max(m_leaseDeadline, deadline);
+        extendLease(deadline);
         const run_key key{order.task, order.number};
         if (m_active.contains(key)) {
             return worker_reply::accepted;
@@ -241,7 +282,7 @@
     {
         const worker_reply checked = check(context);
         if (checked == worker_reply::accepted) {
-            m_leaseDeadline = std::max(m_leaseDeadline, request.deadline);
+            extendLease(request.deadline);
             std::erase_if(m_ended, [&request](const ended_run &ended) { return ended.endNumber <= request.acknowledgedEnd; });
         }
         return checked;
@@ -249,6 +290,10 @@
 
     virtual_time &m_time;
     steady_time m_clockStart{};
+    /// How often the delayed requests were lost.
+    std::uint64_t m_lossesOfDelayed = 0;
+    /// Increases with each process that calls.
+    std::uint64_t m_callers = 0;
     std::set<run_key> m_active;
     std::vector<ended_run> m_ended;
     std::map<std::string, std::uint32_t> m_highestEndedNumber;
--- a/src/runs/tests/run_supervisor_test.cpp
+++ b/src/runs/tests/run_supervisor_test.cpp
@@ -519,3 +519,142 @@
     test.run(milliseconds(100));
     CHECK(test.supervisor->isReady());
 }
+
+namespace
+{
+
+/// The first boot of a worker, and others under its name. The time of a later boot is earlier, as after a clock that was set back.
+constexpr std::int64_t FIRST_BOOT = 1'000;
+constexpr std::int64_t LATER_BOOT = 900;
+
+/// A supervisor whose worker states its boot, has one run, and starts again under its name without that being noticed.
+class reboot_fixture : public supervisor_fixture
+{
+public:
+    reboot_fixture()
+    {
+        worker.boot = FIRST_BOOT;
+        supervisor->handleReport(worker.report());
+        run(milliseconds(200));
+        supervisor->handleReport(worker.report());
+        run(milliseconds(100));
+        order(1, "job.0.0.0");
+        run(milliseconds(50));
+        late = worker.report();
+    }
+
+    void reboot()
+    {
+        worker.restart("worker-1");
+        worker.boot = LATER_BOOT;
+        worker.labels = {"b", "r1"};
+    }
+
+    /// The last report of the first boot.
+    worker_report late;
+};
+
+}
+
+/// Guards against runs of a former boot that are taken for those of the present one, and against tasks for the former boot's labels.
+TEST_CASE("a boot under the name of the one before ends its runs, and is used with its own labels once it has reported")
+{
+    reboot_fixture test;
+    REQUIRE(test.supervisor->isReady());
+    test.reboot();
+    test.run(milliseconds(300));
+    CHECK(test.resultOf(1) == run_outcome::worker_lost);
+    CHECK_FALSE(test.supervisor->isReady());
+    test.order(2, "job.0.0.1");
+    CHECK(test.resultOf(2) == run_outcome::closed);
+    CHECK(test.supervisor->handleReport(test.worker.report()));
+    test.run(milliseconds(100));
+    CHECK(test.supervisor->isReady());
+    CHECK(test.supervisor->status().labels == test.worker.labels);
+}
+
+/// Guards against a late report of a former boot that replaces the present one of the same name, in whatever order the two report.
+TEST_CASE("of two boots under one name the one that answers is used, in whatever order their reports arrive")
+{
+    for (const std::string_view order :
+         {"late live", "live late", "late late live", "live late late", "late live late", "live late live", "live late late live"}) {
+        for (const bool hasAgentRestarted : {false, true}) {
+            CAPTURE(order);
+            CAPTURE(hasAgentRestarted);
+            reboot_fixture test;
+            test.reboot();
+            if (hasAgentRestarted) {
+                test.worker.dropPendingAnswers();
+                // The calls of the former process arrive before the new one begins.
+                test.time.run(milliseconds(20));
+                test.former.push_back(std::move(test.supervisor));
+                test.supervisor = std::make_unique<run_supervisor>(test.time, test.leases, test.worker, test, test.journal);
+            }
+            for (std::size_t begin = 0; begin < order.size(); begin += 5) {
+                test.supervisor->handleReport(order.substr(begin, 4) == "late" ? test.late : test.worker.report());
+            }
+            test.run(milliseconds(100));
+            CHECK(test.supervisor->handleReport(test.worker.report()));
+            test.run(milliseconds(100));
+            CHECK(test.supervisor->isReady());
+            CHECK(test.supervisor->status().labels == test.worker.labels);
+            test.order(2, "job.0.0.1");
+            test.run(milliseconds(50));
+            test.supervisor->handleReport(test.late);
+            test.run(milliseconds(100));
+            CHECK_FALSE(test.hasResult(2));
+            CHECK(test.supervisor->isReady());
+        }
+    }
+}
+
+/// Guards against a run that is given to another worker although its start has reached the new boot of the same name.
+TEST_CASE("a run whose start has reached a new boot goes on there, and its end is reported")
+{
+    reboot_fixture test;
+    test.reboot();
+    test.order(2, "job.0.0.1");
+    test.run(milliseconds(150));
+    CHECK(test.resultOf(1) == run_outcome::worker_lost);
+    REQUIRE(test.worker.active() == std::set<run_key>{{"job.0.0.1", 1}});
+    CHECK_FALSE(test.hasResult(2));
+    test.supervisor->handleReport(test.worker.report());
+    test.run(milliseconds(100));
+    CHECK(test.supervisor->isReady());
+    test.worker.finish({"job.0.0.1", 1}, run_outcome::done);
+    test.run(milliseconds(150));
+    CHECK(test.resultOf(2) == run_outcome::done);
+}
+
+/// Guards against a start to the former boot that the new one carries out late, after the run has been given to another worker.
+TEST_CASE("a late start to a former boot is refused by the new one once its run is reported as lost")
+{
+    for (const milliseconds delay : {milliseconds(50), milliseconds(100), milliseconds(200), milliseconds(500)}) {
+        CAPTURE(delay.count());
+        reboot_fixture test;
+        test.worker.startDelivery = fake_worker::order_delivery::delayed;
+        test.worker.orderDelay = delay;
+        test.order(2, "job.0.0.1");
+        test.reboot();
+        for (int tick = 0; tick < 60; ++tick) {
+            test.run(supervisor_fixture::TICK);
+            REQUIRE((test.hasResult(2) ? test.worker.active().empty() : true));
+        }
+        CHECK(test.hasResult(2));
+    }
+}
+
+/// Guards against runs on a new boot that are given to another worker while the new boot is silent but runs on.
+TEST_CASE("a run that has reached a new boot is reported only after its lease if the new boot does not answer any more")
+{
+    reboot_fixture test;
+    test.reboot();
+    test.order(2, "job.0.0.1");
+    test.run(milliseconds(25));
+    test.worker.renewalDelivery = fake_worker::order_delivery::lost;
+    for (int tick = 0; tick < 100; ++tick) {
+        test.run(supervisor_fixture::TICK);
+        REQUIRE((test.hasResult(2) ? test.worker.active().empty() : true));
+    }
+    CHECK(test.hasResult(2));
+}
--- a/src/runs/worker_client.h
+++ b/src/runs/worker_client.h
@@ -16,18 +16,24 @@
 /// Time on a worker's own steady clock, in milliseconds since an unknown epoch.
 using worker_milliseconds = std::int64_t;
 
-/// Identifies a worker at its address. Another worker at the same address, or the same one at another address, is a different one.
+/// Identifies one boot of a worker at its address. Another worker at the same address, the same one at another address, and another boot
+/// under the same identifier are different ones.
 struct worker_identity {
     std::string instance;
     std::string address;
+    /// See `worker_report::boot`.
+    std::int64_t boot = 0;
 
     auto operator<=>(const worker_identity &) const = default;
 };
 
 /// Periodic report of a worker about itself.
 struct worker_report {
-    /// Identifier of the worker instance; differs after each restart.
+    /// Identifier of the worker instance; usually differs after each restart.
     std::string workerInstance;
+    /// Time of the worker's start on its own clock, in milliseconds since 1970, which tells boots under the same identifier apart; 0 if the
+    /// worker does not state it. Clocks are set back at times, so a later boot may have an earlier time.
+    std::int64_t boot = 0;
     std::string service;
     /// Address at which the worker accepts requests.
     std::string address;
@@ -42,7 +48,7 @@
 
     worker_identity identity() const
     {
-        return {workerInstance, address};
+        return {workerInstance, address, boot};
     }
 };
 
@@ -109,6 +115,8 @@
 /// Answer of a worker to the renewal of its lease.
 struct lease_response {
     worker_reply reply = worker_reply::unknown;
+    /// See `worker_report::boot`.
+    std::int64_t boot = 0;
     worker_milliseconds clock = 0;
     std::vector<active_run> active;
     /// Ended runs that have not been acknowledged.
