--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -4,8 +4,6 @@
 #include <array>
 #include <utility>
 
-#include "runs/worker_clock.h"
-
 namespace azuremoor
 {
 
@@ -53,47 +51,6 @@
     return entryLease + withClockTolerance(workerLease) + STOP_MARGIN;
 }
 
-/// State of the current worker instance.
-struct run_supervisor::tracked_worker {
-    tracked_worker(const time_source &time, const worker_report &firstReport, std::uint64_t minFencingToken)
-        : report(firstReport)
-        // The clock of a boot of the worker never goes back, so a later agent process gets a higher token.
-        , fencingToken(std::max({static_cast<std::uint64_t>(firstReport.clock), minFencingToken, std::uint64_t{1}}))
-        , draining(firstReport.draining)
-        , clock(time, firstReport.clock)
-    {
-    }
-
-    worker_report report;
-    std::uint64_t registration = 0;
-    std::uint64_t fencingToken = 0;
-    bool draining = false;
-    /// This boot has reported, so that its service, labels and capacity are known.
-    bool hasReported = true;
-    /// The worker's departure was announced, and it has not reported since.
-    bool hasDeparted = false;
-    /// Until when the worker is slow after its start.
-    steady_time coldUntil{};
-    /// A renewal was answered since the instance was registered or the lease last expired.
-    bool hasLease = false;
-    /// The worker runs tasks that this process did not order.
-    bool hasForeignRuns = false;
-    worker_clock clock;
-    /// Highest number of the ended runs that were processed.
-    std::uint64_t acknowledgedEnd = 0;
-    /// Number of the last renewal that was sent; renewals are numbered from 1.
-    std::uint64_t lastRenewalNumber = 0;
-    /// Highest number of the renewals that were answered. Answers may arrive out of order.
-    std::uint64_t newestAnsweredRenewal = 0;
-    std::size_t pendingRenewals = 0;
-    steady_time lastRenewal;
-    steady_time lastAnswer;
-    /// Several renewals are kept pending until then, because an answer was lost recently.
-    steady_time lossRecoveryEnd;
-    /// Time of the next stop attempt for each run that this process did not order.
-    std::map<run_key, steady_time> foreignRunStopTimes;
-};
-
 run_supervisor::run_supervisor(
     const time_source &time, lease_timing leases, worker_client &client, run_result_listener &listener, decision_journal &journal)
     : m_time(time)
@@ -129,7 +86,7 @@
     m_worker->coldUntil = m_time.steadyNow() + report.coldRemaining;
     if (report.draining && !m_worker->draining) {
         m_worker->draining = true;
-        m_journal.note("worker_draining", {{"worker", report.workerInstance}, {"runs", std::to_string(m_runs.size())}});
+        m_journal.note("worker_draining", {{"worker", report.workerInstance}, {"runs", std::to_string(m_table.runs().size())}});
     }
     return true;
 }
@@ -137,7 +94,7 @@
 void run_supervisor::handleDeparture(const std::string &workerInstance)
 {
     if (m_worker != nullptr && m_worker->report.workerInstance == workerInstance) {
-        m_journal.note("worker_departing", {{"worker", workerInstance}, {"runs", std::to_string(m_runs.size())}});
+        m_journal.note("worker_departing", {{"worker", workerInstance}, {"runs", std::to_string(m_table.runs().size())}});
         m_worker->hasDeparted = true;
         renew(milliseconds(0));
     } else {
@@ -152,14 +109,14 @@
         refuse(run_outcome::closed);
         return;
     }
-    task_shape used = usedCapacity();
+    task_shape used = m_table.usedCapacity();
     used += order.shape;
     if (!used.fitsInto(m_worker->report.capacity)) {
         refuse(run_outcome::no_room);
         return;
     }
     const run_key key{order.task, order.number};
-    if (m_runs.contains(key)) {
+    if (m_table.runs().contains(key)) {
         refuse(run_outcome::stale_number);
         return;
     }
@@ -172,16 +129,17 @@
     run.startedAt = m_time.steadyNow();
     run.startDeadline = m_worker->clock.now() + m_leases.workerLease.count();
     m_worker->clock.extendLease(run.startDeadline);
-    m_runs.emplace(key, run);
+    m_table.runs().emplace(key, run);
     const std::uint64_t registration = m_worker->registration;
-    m_client.startRun(context(), order, run.startDeadline, [this, registration, key](worker_reply reply, worker_milliseconds clock) {
-        handleStartReply(registration, key, reply, clock);
-    });
+    m_client.startRun(
+        m_worker->context(), order, run.startDeadline, [this, registration, key](worker_reply reply, worker_milliseconds clock) {
+            handleStartReply(registration, key, reply, clock);
+        });
 }
 
 void run_supervisor::stop(const std::string &session, std::uint64_t sequence)
 {
-    for (auto &[key, run] : m_runs) {
+    for (auto &[key, run] : m_table.runs()) {
         if (run.session == session && run.sequence == sequence) {
             requestStop(key, run, STOP_TIMEOUT);
             return;
@@ -191,7 +149,7 @@
 
 void run_supervisor::stopAll(const std::string &session)
 {
-    for (auto &[key, run] : m_runs) {
+    for (auto &[key, run] : m_table.runs()) {
         if (run.session == session) {
             // The entry or others may rely on these runs being over one worker lease from now, so the lease is withheld immediately.
             requestStop(key, run, milliseconds(0));
@@ -202,7 +160,7 @@
 std::size_t run_supervisor::stopRunsOfOrigin(const std::string &session, const std::string &origin)
 {
     std::size_t count = 0;
-    for (auto &[key, run] : m_runs) {
+    for (auto &[key, run] : m_table.runs()) {
         if (run.session == session && run.origin == origin) {
             ++count;
             // As in stopAll(): the chain of leases leaves no time for repeated stops.
@@ -227,7 +185,7 @@
         return;
     }
     const steady_time now = m_time.steadyNow();
-    for (auto &[key, run] : m_runs) {
+    for (auto &[key, run] : m_table.runs()) {
         if (run.state == run_state::stopping && now >= run.nextStopAttempt) {
             sendStop(key, run);
         }
@@ -254,7 +212,7 @@
     result.service = m_worker->report.service;
     result.labels = m_worker->report.labels;
     result.capacity = m_worker->report.capacity;
-    result.free = result.capacity.saturatingMinus(usedCapacity());
+    result.free = result.capacity.saturatingMinus(m_table.usedCapacity());
     const auto cold = std::chrono::ceil<milliseconds>(m_worker->coldUntil - m_time.steadyNow());
     result.coldMilliseconds = static_cast<std::uint32_t>(std::max<std::int64_t>(cold.count(), 0));
     return result;
@@ -262,24 +220,12 @@
 
 std::vector<run_progress> run_supervisor::progress(const std::string &session) const
 {
-    std::vector<run_progress> result;
-    for (const auto &[key, run] : m_runs) {
-        if (run.session == session && run.state == run_state::running) {
-            result.push_back({run.sequence, run.percent});
-        }
-    }
-    return result;
+    return m_table.progress(session);
 }
 
 std::vector<forecast_run> run_supervisor::forecastRuns() const
 {
-    const steady_time now = m_time.steadyNow();
-    std::vector<forecast_run> result;
-    result.reserve(m_runs.size());
-    for (const auto &[key, run] : m_runs) {
-        result.push_back({run.resources, run.estimate, now - run.startedAt, run.percent});
-    }
-    return result;
+    return m_table.forecastRuns(m_time.steadyNow());
 }
 
 const capacity_forecast &run_supervisor::forecast() const
@@ -289,18 +235,18 @@
 
 std::size_t run_supervisor::runCount() const
 {
-    return m_runs.size();
+    return m_table.runs().size();
 }
 
 std::size_t run_supervisor::runCount(const std::string &session) const
 {
-    return std::count_if(m_runs.begin(), m_runs.end(), [&session](const auto &each) { return each.second.session == session; });
+    return m_table.count(session);
 }
 
 bool run_supervisor::isReady() const
 {
     return m_worker != nullptr && m_worker->hasReported && m_worker->hasLease && !m_worker->hasForeignRuns && isResponsive()
-        && !isLeaseWithheld();
+        && !m_table.hasOverdueStop(m_time.steadyNow());
 }
 
 bool run_supervisor::isDraining() const
@@ -308,14 +254,6 @@
     return m_worker->draining || m_worker->hasDeparted;
 }
 
-bool run_supervisor::isLeaseWithheld() const
-{
-    const steady_time now = m_time.steadyNow();
-    return std::any_of(m_runs.begin(), m_runs.end(), [now](const auto &element) {
-        return element.second.stopDeadline && now >= *element.second.stopDeadline;
-    });
-}
-
 bool run_supervisor::isResponsive() const
 {
     return m_time.steadyNow() < m_worker->lastAnswer + 2 * m_leases.renewalInterval;
@@ -336,11 +274,11 @@
 void run_supervisor::discardWorker(run_outcome outcome, const std::string &reason)
 {
     m_journal.note("worker_lost",
-                   {{"worker", m_worker->report.workerInstance}, {"reason", reason}, {"runs", std::to_string(m_runs.size())}});
+                   {{"worker", m_worker->report.workerInstance}, {"reason", reason}, {"runs", std::to_string(m_table.runs().size())}});
     const std::optional<worker_report> successor = m_contenders.takeSuccessor(m_worker->report.identity());
     m_worker.reset();
-    while (!m_runs.empty()) {
-        endRun(m_runs.begin(), outcome);
+    while (!m_table.runs().empty()) {
+        endRun(m_table.runs().begin(), outcome);
     }
     if (successor) {
         registerWorker(*successor);
@@ -354,7 +292,7 @@
                    {{"worker", former.workerInstance},
                     {"boot", std::to_string(response.boot)},
                     {"former_boot", std::to_string(former.boot)},
-                    {"runs", std::to_string(m_runs.size())}});
+                    {"runs", std::to_string(m_table.runs().size())}});
     worker_report booted;
     booted.workerInstance = former.workerInstance;
     booted.address = former.address;
@@ -364,12 +302,12 @@
     const bool hasReported = reported && reported->identity() == booted.identity();
     registerWorker(hasReported ? *reported : booted, m_worker->fencingToken + 1);
     m_worker->hasReported = hasReported;
-    if (m_runs.empty()) {
+    if (m_table.runs().empty()) {
         return;
     }
     // A start that reached the new boot has begun a lease there, whose deadline was one on the former boot's clock.
     m_worker->clock.extendLease(response.clock + m_leases.longestWorkerLease.count());
-    for (auto &[key, run] : m_runs) {
+    for (auto &[key, run] : m_table.runs()) {
         run.isOfFormerBoot = true;
         run.isStopConfirmed = false;
         run.firstConclusiveRenewal = m_worker->lastRenewalNumber;
@@ -402,8 +340,8 @@
 
 void run_supervisor::handleStartReply(std::uint64_t registration, const run_key &key, worker_reply reply, worker_milliseconds clock)
 {
-    const auto found = m_runs.find(key);
-    if (found == m_runs.end() || !isCurrent(registration)) {
+    const auto found = m_table.runs().find(key);
+    if (found == m_table.runs().end() || !isCurrent(registration)) {
         return;
     }
     supervised_run &run = found->second;
@@ -462,7 +400,8 @@
     run.state = run_state::stopping;
     run.nextStopAttempt = m_time.steadyNow() + STOP_RETRY_INTERVAL;
     const std::uint64_t registration = m_worker->registration;
-    m_client.stopRun(context(), key, [this, registration, key](worker_reply reply) { handleStopReply(registration, key, reply); });
+    m_client.stopRun(
+        m_worker->context(), key, [this, registration, key](worker_reply reply) { handleStopReply(registration, key, reply); });
 }
 
 void run_supervisor::handleStopReply(std::uint64_t registration, const run_key &key, worker_reply reply)
@@ -474,8 +413,8 @@
         discardWorker(run_outcome::worker_lost, "another instance answered, or nothing listens at its address");
         return;
     }
-    const auto found = m_runs.find(key);
-    if (found != m_runs.end() && reply == worker_reply::accepted && !found->second.isStopConfirmed) {
+    const auto found = m_table.runs().find(key);
+    if (found != m_table.runs().end() && reply == worker_reply::accepted && !found->second.isStopConfirmed) {
         found->second.isStopConfirmed = true;
         found->second.firstConclusiveRenewal = m_worker->lastRenewalNumber + 1;
     }
@@ -495,7 +434,7 @@
     ++m_worker->pendingRenewals;
     const std::uint64_t renewalNumber = ++m_worker->lastRenewalNumber;
     const std::uint64_t registration = m_worker->registration;
-    m_client.renewLease(context(), request, [this, registration, renewalNumber](const lease_response &response) {
+    m_client.renewLease(m_worker->context(), request, [this, registration, renewalNumber](const lease_response &response) {
         handleLeaseResponse(registration, renewalNumber, response);
     });
 }
@@ -548,8 +487,8 @@
             continue;
         }
         m_worker->acknowledgedEnd = ended.endNumber;
-        const auto found = m_runs.find(ended.run);
-        if (found != m_runs.end()) {
+        const auto found = m_table.runs().find(ended.run);
+        if (found != m_table.runs().end()) {
             endRun(found, ended.outcome);
         }
     }
@@ -560,14 +499,14 @@
     std::set<run_key> active;
     for (const active_run &listed : response.active) {
         active.insert(listed.run);
-        const auto found = m_runs.find(listed.run);
-        if (found != m_runs.end()) {
+        const auto found = m_table.runs().find(listed.run);
+        if (found != m_table.runs().end()) {
             found->second.percent = listed.percent;
             found->second.isOfFormerBoot = false;
         }
     }
     std::vector<run_key> endedKeys;
-    for (const auto &[key, run] : m_runs) {
+    for (const auto &[key, run] : m_table.runs()) {
         const bool isConclusive = run.firstConclusiveRenewal != 0 && renewalNumber >= run.firstConclusiveRenewal;
         const bool isPastDeadline = run.state == run_state::stopping && response.clock > run.startDeadline + STOP_MARGIN.count();
         if (!active.contains(key) && (isConclusive || isPastDeadline)) {
@@ -575,7 +514,7 @@
         }
     }
     for (const run_key &key : endedKeys) {
-        const auto found = m_runs.find(key);
+        const auto found = m_table.runs().find(key);
         endRun(found, found->second.isOfFormerBoot ? run_outcome::worker_lost : run_outcome::stopped);
     }
 }
@@ -585,7 +524,7 @@
     bool hasForeign = false;
     const steady_time now = m_time.steadyNow();
     for (const active_run &listed : active) {
-        if (m_runs.contains(listed.run)) {
+        if (m_table.runs().contains(listed.run)) {
             continue;
         }
         hasForeign = true;
@@ -596,7 +535,7 @@
         nextStopAttempt = now + STOP_RETRY_INTERVAL;
         m_journal.note("foreign_run_stopped", {{"task", listed.run.task}, {"run", std::to_string(listed.run.runNumber)}});
         const std::uint64_t registration = m_worker->registration;
-        m_client.stopRun(context(), listed.run, [this, registration, key = listed.run](worker_reply reply) {
+        m_client.stopRun(m_worker->context(), listed.run, [this, registration, key = listed.run](worker_reply reply) {
             handleStopReply(registration, key, reply);
         });
     }
@@ -609,27 +548,18 @@
 void run_supervisor::checkLeaseExpiry()
 {
     // Runs without a lease are those of a former boot.
-    const bool mayHaveRuns = m_worker->hasLease || !m_runs.empty();
+    const bool mayHaveRuns = m_worker->hasLease || !m_table.runs().empty();
     if (m_time.steadyNow() < m_worker->clock.latestLeaseEnd() + STOP_MARGIN || !mayHaveRuns) {
         return;
     }
     m_worker->hasLease = false;
-    m_journal.note("lease_lapsed", {{"worker", m_worker->report.workerInstance}, {"runs", std::to_string(m_runs.size())}});
-    while (!m_runs.empty()) {
-        endRun(m_runs.begin(), run_outcome::lapsed);
+    m_journal.note("lease_lapsed", {{"worker", m_worker->report.workerInstance}, {"runs", std::to_string(m_table.runs().size())}});
+    while (!m_table.runs().empty()) {
+        endRun(m_table.runs().begin(), run_outcome::lapsed);
     }
     giveWay();
 }
 
-task_shape run_supervisor::usedCapacity() const
-{
-    task_shape used;
-    for (const auto &[key, run] : m_runs) {
-        used += run.resources;
-    }
-    return used;
-}
-
 void run_supervisor::endRun(run_map::iterator run, run_outcome outcome)
 {
     const std::string session = run->second.session;
@@ -637,13 +567,8 @@
     if (outcome == run_outcome::done) {
         m_forecast.recordEnd(run->second.estimate, m_time.steadyNow() - run->second.startedAt);
     }
-    m_runs.erase(run);
+    m_table.runs().erase(run);
     m_listener.handleRunResult(session, sequence, outcome);
 }
 
-request_context run_supervisor::context() const
-{
-    return {m_worker->report.workerInstance, m_worker->report.address, m_worker->fencingToken};
-}
-
 }
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -11,6 +11,8 @@
 #include "base/decision_journal.h"
 #include "runs/capacity_forecast.h"
 #include "runs/contender_tracker.h"
+#include "runs/run_table.h"
+#include "runs/tracked_worker.h"
 #include "runs/worker_client.h"
 
 namespace azuremoor
@@ -111,36 +113,7 @@
     bool isReady() const;
 
 private:
-    enum class run_state : std::uint8_t {
-        ordered,
-        running,
-        stopping,
-    };
-    struct supervised_run {
-        std::string session;
-        /// See `run_order::origin`.
-        std::string origin;
-        std::uint64_t sequence = 0;
-        task_shape resources;
-        run_state state = run_state::ordered;
-        /// Time on the worker's clock after which the worker refuses to start the run.
-        worker_milliseconds startDeadline = 0;
-        /// The worker confirmed a stop, so the run cannot begin any more.
-        bool isStopConfirmed = false;
-        /// Number of the first renewal whose answer is certain to list the run if it is in progress; 0 while unknown.
-        std::uint64_t firstConclusiveRenewal = 0;
-        steady_time nextStopAttempt;
-        /// Time from which the lease is not renewed unless the run has ended. Set only for runs that an entry or the agent stopped.
-        std::optional<steady_time> stopDeadline;
-        /// Share of the work that is done, in percent.
-        std::uint8_t percent = 0;
-        microseconds estimate{0};
-        steady_time startedAt;
-        /// The run was ordered from an earlier boot of the worker, and the present boot has not listed it.
-        bool isOfFormerBoot = false;
-    };
-    struct tracked_worker;
-    using run_map = std::map<run_key, supervised_run>;
+    using run_map = run_table::run_map;
 
     /// Makes the worker the current one, with a fencing token that is not lower than the given one.
     void registerWorker(const worker_report &report, std::uint64_t minFencingToken = 0);
@@ -171,14 +144,10 @@
     bool isResponsive() const;
     /// Returns whether the current worker gets no more runs, because it drains or has announced its departure.
     bool isDraining() const;
-    /// Returns whether the lease must not be renewed, because a run did not end in spite of being stopped.
-    bool isLeaseWithheld() const;
     /// Stops a run. After the timeout, the lease is withheld until the run has ended.
     void requestStop(const run_key &key, supervised_run &run, milliseconds timeout);
-    task_shape usedCapacity() const;
     /// Removes a run and reports its result.
     void endRun(run_map::iterator run, run_outcome outcome);
-    request_context context() const;
 
     const time_source &m_time;
     lease_timing m_leases;
@@ -189,7 +158,7 @@
     contender_tracker m_contenders;
     /// Number of the last registration of a worker. An instance that was given up can be registered again.
     std::uint64_t m_lastRegistration = 0;
-    run_map m_runs;
+    run_table m_table;
     capacity_forecast m_forecast;
     bool m_isClosed = false;
 };
--- /dev/null
+++ b/src/runs/run_table.cpp
@@ -0,0 +1,58 @@
+#include "runs/run_table.h"
+
+#include <algorithm>
+
+namespace azuremoor
+{
+
+run_table::run_map &run_table::runs()
+{
+    return m_runs;
+}
+
+const run_table::run_map &run_table::runs() const
+{
+    return m_runs;
+}
+
+task_shape run_table::usedCapacity() const
+{
+    task_shape used;
+    for (const auto &[key, run] : m_runs) {
+        used += run.resources;
+    }
+    return used;
+}
+
+std::size_t run_table::count(std::string_view session) const
+{
+    return std::ranges::count_if(m_runs, [session](const auto &each) { return each.second.session == session; });
+}
+
+std::vector<run_progress> run_table::progress(std::string_view session) const
+{
+    std::vector<run_progress> result;
+    for (const auto &[key, run] : m_runs) {
+        if (run.session == session && run.state == run_state::running) {
+            result.push_back({run.sequence, run.percent});
+        }
+    }
+    return result;
+}
+
+std::vector<forecast_run> run_table::forecastRuns(steady_time now) const
+{
+    std::vector<forecast_run> result;
+    result.reserve(m_runs.size());
+    for (const auto &[key, run] : m_runs) {
+        result.push_back({run.resources, run.estimate, now - run.startedAt, run.percent});
+    }
+    return result;
+}
+
+bool run_table::hasOverdueStop(steady_time now) const
+{
+    return std::ranges::any_of(m_runs, [now](const auto &each) { return each.second.stopDeadline && now >= *each.second.stopDeadline; });
+}
+
+}
--- /dev/null
+++ b/src/runs/run_table.h
@@ -0,0 +1,80 @@
+#ifndef AZUREMOOR_RUNS_RUN_TABLE_H
+#define AZUREMOOR_RUNS_RUN_TABLE_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "runs/capacity_forecast.h"
+#include "runs/worker_client.h"
+
+namespace azuremoor
+{
+
+/// What a run was last asked to do, and whether the worker has accepted it.
+enum class run_state : std::uint8_t {
+    ordered,
+    running,
+    stopping,
+};
+
+/// A run that uses capacity of the worker: it may be in progress, or may still begin.
+struct supervised_run {
+    std::string session;
+    /// See `run_order::origin`.
+    std::string origin;
+    std::uint64_t sequence = 0;
+    task_shape resources;
+    run_state state = run_state::ordered;
+    /// Time on the worker's clock after which the worker refuses to start the run.
+    worker_milliseconds startDeadline = 0;
+    /// The worker confirmed a stop, so the run cannot begin any more.
+    bool isStopConfirmed = false;
+    /// Number of the first renewal whose answer is certain to list the run if it is in progress; 0 while unknown.
+    std::uint64_t firstConclusiveRenewal = 0;
+    steady_time nextStopAttempt;
+    /// Time from which the lease is not renewed unless the run has ended. Set only for runs that an entry or the agent stopped.
+    std::optional<steady_time> stopDeadline;
+    /// Share of the work that is done, in percent.
+    std::uint8_t percent = 0;
+    microseconds estimate{0};
+    steady_time startedAt;
+    /// The run was ordered from an earlier boot of the worker, and the present boot has not listed it.
+    bool isOfFormerBoot = false;
+};
+
+/// The runs of a worker that use its capacity.
+class run_table
+{
+public:
+    using run_map = std::map<run_key, supervised_run>;
+
+    /// Returns the runs, in the order of their tasks.
+    run_map &runs();
+    const run_map &runs() const;
+
+    /// Returns the capacity that the runs use.
+    task_shape usedCapacity() const;
+
+    /// Returns the number of the session's runs.
+    std::size_t count(std::string_view session) const;
+
+    /// Returns the progress of the session's runs that the worker has accepted and that are not being stopped.
+    std::vector<run_progress> progress(std::string_view session) const;
+
+    /// Returns the runs as the forecast takes them.
+    std::vector<forecast_run> forecastRuns(steady_time now) const;
+
+    /// Returns whether a run has not ended by its stop deadline.
+    bool hasOverdueStop(steady_time now) const;
+
+private:
+    run_map m_runs;
+};
+
+}
+
+#endif
