An agent that is fenced and has no lease raises its token

What callers would see: a worker that gets no tasks for as long as its former boot had run, hours say. Found with the new cases on boots under one id: a late call of the agent's former process takes a token on the former boot's clock to the new boot, and the next agent process begins with a token on the new boot's clock, which is far lower, so that every call is refused as fenced.

Evidence: runs-test, "a new agent process uses a new boot although it has seen a token on the former boot's clock", with the late call before and after the new process begins.

Why it works: there is one agent process on a machine, so only a late call can have brought a higher token.

--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -457,6 +457,10 @@
     if (response.reply != worker_reply::accepted) {
         m_worker->lossRecoveryEnd = m_time.steadyNow() + LOSS_RECOVERY_TIME;
         m_journal.note("renewal_failed", {{"worker", workerInstance}, {"reply", std::string(workerReplyName(response.reply))}});
+        if (response.reply == worker_reply::fenced && !m_worker->hasLease) {
+            // There is one agent process at a time, so a late call of an earlier one, to a former boot, has brought the higher token.
+            m_worker->raiseFencingToken();
+        }
         if (!m_worker->hasLease) {
             giveWay();
         }
--- a/src/runs/tests/run_supervisor_test.cpp
+++ b/src/runs/tests/run_supervisor_test.cpp
@@ -658,3 +658,26 @@
     }
     CHECK(test.hasResult(2));
 }
+
+/// Guards against an agent that can use its worker only after hours, because a call of the agent's former process has taken a token on the
+/// former boot's clock to the new boot, before the new process begins or later.
+TEST_CASE("a new agent process uses a new boot although it has seen a token on the former boot's clock")
+{
+    for (const milliseconds delay : {milliseconds(5), milliseconds(800)}) {
+        CAPTURE(delay.count());
+        reboot_fixture test;
+        test.run(seconds(30));
+        test.supervisor->handleReport(test.worker.report());
+        test.worker.startDelivery = fake_worker::order_delivery::delayed;
+        test.worker.orderDelay = delay;
+        test.order(2, "job.0.0.1");
+        test.reboot();
+        test.worker.dropPendingAnswers();
+        test.former.push_back(std::move(test.supervisor));
+        test.supervisor = std::make_unique<run_supervisor>(test.time, test.leases, test.worker, test, test.journal);
+        test.supervisor->handleReport(test.worker.report());
+        test.run(seconds(3));
+        CHECK(test.supervisor->isReady());
+        CHECK(test.worker.active().empty());
+    }
+}
