A job is seen and cancelled only under the queue of its client account

Submissions have told queues apart since, queries and cancels looked at the identifier alone.

Why it works: the route that the request names gives the queue, and the dispatcher finds the job only in it.

--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -194,20 +194,29 @@
     }
 }
 
-bool job_dispatcher::cancel(const std::string &id)
+bool job_dispatcher::cancel(std::string_view queue, const std::string &id)
 {
-    const auto found = m_jobNumbersById.find(id);
-    if (found == m_jobNumbersById.end() || m_jobs.at(found->second).isEnding) {
+    const std::optional<std::uint64_t> number = findActive(queue, id);
+    if (!number) {
         return false;
     }
-    endJob(m_jobs.at(found->second), {answer_kind::cancelled, "the caller cancelled the job", {}});
+    endJob(m_jobs.at(*number), {answer_kind::cancelled, "the caller cancelled the job", {}});
     return true;
 }
 
-bool job_dispatcher::isActive(const std::string &id) const
+bool job_dispatcher::isActive(std::string_view queue, const std::string &id) const
+{
+    return findActive(queue, id).has_value();
+}
+
+std::optional<std::uint64_t> job_dispatcher::findActive(std::string_view queue, const std::string &id) const
 {
     const auto found = m_jobNumbersById.find(id);
-    return found != m_jobNumbersById.end() && !m_jobs.at(found->second).isEnding;
+    if (found == m_jobNumbersById.end()) {
+        return std::nullopt;
+    }
+    const active_job &job = m_jobs.at(found->second);
+    return job.isEnding || job.matchedRoute.name != queue ? std::nullopt : std::optional(found->second);
 }
 
 std::size_t job_dispatcher::pendingJobs(const std::string &queue) const
--- a/src/dispatch/job_dispatcher.h
+++ b/src/dispatch/job_dispatcher.h
@@ -122,11 +122,11 @@
     /// Removes the request, because its caller has disconnected. It gets no answer. The job is ended if it has no other requests.
     void abandonRequest(std::uint64_t request);
 
-    /// Cancels the job. Returns whether there was an active job of this identifier.
-    bool cancel(const std::string &id);
+    /// Cancels the job of the queue. Returns whether there was an active job of this identifier in it.
+    bool cancel(std::string_view queue, const std::string &id);
 
-    /// Returns whether the job is known and not yet answered. Jobs whose remaining runs are being stopped are not active.
-    bool isActive(const std::string &id) const;
+    /// Returns whether the job of the queue is known and not yet answered. Jobs whose remaining runs are being stopped are not active.
+    bool isActive(std::string_view queue, const std::string &id) const;
 
     /// Returns the number of the queue's unanswered jobs of which certainly no task has started. Jobs that wait for capacity after a start
     /// are not counted.
@@ -166,6 +166,8 @@
     const refusal_counters &refusals() const;
 
 private:
+    /// Returns the number of the queue's active job with the identifier; nothing if there is none.
+    std::optional<std::uint64_t> findActive(std::string_view queue, const std::string &id) const;
     /// Decides on a new job: it is passed on, refused or kept.
     /// Returns the answer for a job that another entry refused, or nothing if it is queued. One that was admitted here before is not put
     /// through admission again: it is queued as it was, or passes the second check of its wait, for which it was handed over.
--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -334,6 +334,27 @@
     CHECK(test.answers.at(1).kind == answer_kind::completed);
 }
 
+/// Guards against runs without a caller that go on because their stop was lost with a connection.
+TEST_CASE("a stop that was lost with a connection is sent again on the next one, and the job is not begun before its runs have ended")
+{
+    dispatcher_fixture test;
+    test.addWorker("one");
+    test.submit(1, "job");
+    worker_status status = test.pool.workers().at("one").status;
+    status.appliedOrder = 1;
+    test.pool.disconnectAgent("one");
+    test.dispatcher.abandonRequest(1);
+    test.dispatcher.placeWaitingTasks();
+    test.stopped.clear();
+    test.pool.connectAgent({"one", member_role::agent, 1, "dc", ""});
+    test.pool.updateStatus("one", status);
+    test.dispatcher.placeWaitingTasks();
+    CHECK(test.stopped == std::vector<std::uint64_t>{1});
+    test.submit(2, "job");
+    CHECK(test.answers.at(2).kind == answer_kind::refused_unavailable);
+    CHECK(test.orderedRuns.size() == 1);
+}
+
 TEST_CASE("orders that were lost with a connection are repeated on the next one")
 {
     dispatcher_fixture test;
@@ -875,7 +896,7 @@
     REQUIRE(test.answers.empty());
     REQUIRE(test.orderedRuns.size() == 4);
 
-    test.dispatcher.cancel("large2");
+    test.dispatcher.cancel("queue", "large2");
     test.pool.updateFreeCapacity("one", {{0, 4000, 0}, 4, {}});
     test.dispatcher.placeWaitingTasks();
     REQUIRE(test.orderedRuns.size() == 5);
--- a/src/testing/plain_client.h
+++ b/src/testing/plain_client.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <stdexcept>
+#include <string>
 #include <string_view>
 
 #include <arpa/inet.h>
@@ -43,11 +44,13 @@
         require(::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()), "send");
     }
 
-    /// Reads what has arrived, which must be something. A close with unread bytes would be a reset.
-    void read() const
+    /// Reads and returns what has arrived, which must be something. A close with unread bytes would be a reset.
+    std::string read() const
     {
         std::array<char, 4096> bytes{};
-        require(recv(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT) > 0, "read");
+        const ssize_t length = recv(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        require(length > 0, "read");
+        return {bytes.data(), static_cast<std::size_t>(length)};
     }
 
     /// Ends the connection with a reset in place of an orderly close.
