--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "dispatch/evacuated_runs.h"
 #include "dispatch/answer_router.h"
 #include "dispatch/handover_policy.h"
 
@@ -16,9 +15,6 @@
 /// The admission of a waiting job is checked again after the time from its arrival to its latency objective, divided by this number.
 constexpr int RECHECK_DIVISOR = 5;
 
-/// Maximum number of stalled or slow runs of one task that are stopped to run it on another worker.
-constexpr std::uint32_t MAX_MOVED_RUNS = 3;
-
 /// Added to a task's run number when its worker has already received that number or a higher one, because another entry, to which the job
 /// was submitted earlier, assigned it.
 constexpr std::uint32_t RUN_NUMBER_SKIP = 100;
@@ -52,11 +48,11 @@
     : m_time(time)
     , m_pool(pool)
     , m_placement(placement)
-    , m_stragglers(stragglers)
     , m_localLoad(localLoad)
     , m_answers(answers)
     , m_journal(journal)
     , m_priorities(priorities)
+    , m_mover(time, pool, placement, stragglers, journal)
     , m_processor(processor)
     , m_link(time, link, m_waitingJobs)
     , m_admission(time, pool, placement, admission, m_waitingJobs, processor, m_link, localLoad, journal, priorities)
@@ -389,7 +385,7 @@
     if (m_isStopping) {
         forwardUnstartedJobs();
     }
-    moveStragglers();
+    m_counters.movedRuns += m_mover.moveRuns(m_jobs);
     m_localLoad.setLinkDelay(m_link.waitingDelay());
     // A quarantined worker may be due for a trial, and jobs may have become late, without any message.
     m_isEachJobDue = true;
@@ -712,63 +708,6 @@
     }
 }
 
-void job_dispatcher::moveStragglers()
-{
-    const steady_time now = m_time.steadyNow();
-    // Computed over all workers, so only if there is a run to assess. Moving runs does not change it.
-    std::optional<double> medianSlowness;
-    for (auto &[agent, worker] : m_pool.workers()) {
-        if (worker.runs.empty()) {
-            continue;
-        }
-        const bool isLeaving = worker.isEvacuated && m_pool.isResponsive(worker, now);
-        if (!isLeaving && !m_pool.isUsable(worker, now)) {
-            continue;
-        }
-        medianSlowness = medianSlowness ? medianSlowness : poolMedians(m_pool, now).slowness;
-        for (const auto &[sequence, run] : worker.runs) {
-            run_health health = run.isStopping ? run_health::sound : m_stragglers.assessRun(worker, run, *medianSlowness, now);
-            if (isLeaving && !run.isStopping && health == run_health::sound && endsSoonerElsewhere(worker, run, *medianSlowness, now)) {
-                health = run_health::evacuated;
-            }
-            if (health != run_health::sound) {
-                moveRun(worker, sequence, health);
-            }
-        }
-    }
-}
-
-void job_dispatcher::moveRun(pooled_worker &worker, std::uint64_t sequence, run_health health)
-{
-    const task_reference reference = worker.runs.at(sequence).task;
-    active_job &job = m_jobs.at(reference.job);
-    active_task &task = job.tasks[reference.task];
-    if (job.isEnding || task.movedRuns >= MAX_MOVED_RUNS) {
-        return;
-    }
-    const placement_request alternative{&job.stepOf(reference.task), job.matchedRoute.service, worker.agent, {worker.agent}};
-    const pooled_worker *other = m_placement.chooseWorker(m_pool, alternative);
-    if (other == nullptr) {
-        return;
-    }
-    if (health == run_health::evacuated
-        && !endsSoonerElsewhere(worker, worker.runs.at(sequence), other->performance.slowness(), m_time.steadyNow())) {
-        return;
-    }
-    ++task.movedRuns;
-    ++m_counters.movedRuns;
-    if (health == run_health::stalled) {
-        worker.performance.recordFailure(m_time.steadyNow());
-    }
-    m_journal.note("run_moved",
-                   {{"job", job.spec.id},
-                    {"task", job.taskName(reference.task)},
-                    {"agent", worker.agent},
-                    {"health", std::string(runHealthName(health))},
-                    {"percent", std::to_string(worker.runs.at(sequence).percent.value_or(0))}});
-    m_pool.stopRun(worker, sequence);
-}
-
 void job_dispatcher::endJob(active_job &job, const job_answer &answer)
 {
     job.isEnding = true;
--- a/src/dispatch/job_dispatcher.h
+++ b/src/dispatch/job_dispatcher.h
@@ -22,6 +22,7 @@
 #include "dispatch/priority_control.h"
 #include "dispatch/processor_budget.h"
 #include "dispatch/reservation_planner.h"
+#include "dispatch/run_mover.h"
 #include "dispatch/run_preemption.h"
 #include "dispatch/straggler_policy.h"
 #include "dispatch/urgency_queue.h"
@@ -204,8 +205,6 @@
     void refuseEvacuatedJobs();
     /// Stops runs of lower priorities for waiting jobs that would otherwise start too late.
     void preemptRuns();
-    void moveStragglers();
-    void moveRun(pooled_worker &worker, std::uint64_t sequence, run_health health);
     /// Answers all requests of the job, and stops its runs. The job may be destroyed.
     void endJob(active_job &job, const job_answer &answer);
     /// Destroys the job unless a run of it is active.
@@ -216,7 +215,6 @@
     const time_source &m_time;
     worker_pool &m_pool;
     placement_policy &m_placement;
-    const straggler_policy &m_stragglers;
     local_load &m_localLoad;
     answer_sink &m_answers;
     decision_journal &m_journal;
@@ -228,6 +226,7 @@
     std::map<std::string, std::uint64_t> m_jobNumbersById;
     std::map<std::uint64_t, std::uint64_t> m_jobNumbersByRequest;
     urgency_queue m_waitingJobs;
+    run_mover m_mover;
     /// Null when processor time is not limited.
     processor_budget *m_processor;
     link_admission m_link;
