Random histories restart workers under their names, and mislead agents

They come from random numbers of their own, so that the other decisions of a seed stay what they were.

--- a/src/dispatch/tests/dispatch_history.cpp
+++ b/src/dispatch/tests/dispatch_history.cpp
@@ -508,11 +508,15 @@
     , m_random(settings.seed)
     , m_drainedSince(settings.agents)
     , m_workerInstances(settings.agents, 1)
+    , m_formerReports(settings.agents)
+    , m_areBootsStated(settings.seed % 3 != 0)
+    , m_identityRandom(settings.seed)
     , m_hasPriorities(settings.priorities == dispatch_history_settings::priority_mode::always || settings.seed % 2 == 0)
 {
     for (std::size_t index = 0; index < settings.agents; ++index) {
         auto worker = std::make_unique<fake_worker>(m_time);
         worker->restart("worker-" + std::to_string(index) + "-1");
+        worker->boot = m_areBootsStated ? 1 : 0;
         worker->clockRate = 0.98 + 0.04 * static_cast<double>(random(100)) / 100;
         worker->checksFencingToken = settings.disabledCheck != safety_check::fencing_token;
         worker->checksInstance = settings.disabledCheck != safety_check::worker_instance;
@@ -560,6 +564,7 @@
     m_time.after(seconds(1), [this] {
         scheduleJobs();
         scheduleFaults();
+        scheduleMisleadingReports();
     });
     // The last jobs are settled in the additional time: a caller tries four times, and waits for the answer and before the next try.
     m_time.run(m_settings.length + seconds(16));
@@ -1020,8 +1025,18 @@
 
 void dispatch_history::restartWorker(std::size_t index)
 {
+    m_formerReports[index].push_back(reportOf(index));
     m_drainedSince[index] = {};
-    m_workers[index]->restart("worker-" + std::to_string(index) + '-' + std::to_string(++m_workerInstances[index]));
+    fake_worker &worker = *m_workers[index];
+    const bool keepsName = m_areBootsStated && m_identityRandom() % 2 == 0;
+    ++m_workerInstances[index];
+    if (keepsName) {
+        // A boot knows nothing of the requests that wait at the one before, and cannot tell them from its own.
+        worker.restart(worker.name, fake_worker::delayed_requests::lost);
+    } else {
+        worker.restart("worker-" + std::to_string(index) + '-' + std::to_string(m_workerInstances[index]));
+    }
+    worker.boot = m_areBootsStated ? m_workerInstances[index] : 0;
     if (random(3) == 0) {
         m_time.after(milliseconds(random(1500)), [this, index] {
             m_drainedSince[index] = m_time.steadyNow();
@@ -1034,6 +1049,37 @@
     }
 }
 
+void dispatch_history::scheduleMisleadingReports()
+{
+    if (m_settings.faultInterval.count() == 0 || m_time.steadyNow().time_since_epoch() > seconds(1000) + m_settings.length) {
+        return;
+    }
+    misleadAgent(m_identityRandom() % m_agents.size());
+    constexpr std::uint64_t LONGEST_PAUSE_US = 1'000'000;
+    m_time.after(microseconds(m_identityRandom() % LONGEST_PAUSE_US), [this] { scheduleMisleadingReports(); });
+}
+
+void dispatch_history::misleadAgent(std::size_t index)
+{
+    const std::shared_ptr<agent_process> agent = m_agents[index];
+    const std::vector<worker_report> &former = m_formerReports[index];
+    worker_report report = reportOf(index);
+    const std::uint64_t kind = m_identityRandom() % 4;
+    if (kind == 0 && !former.empty()) {
+        report = former[m_identityRandom() % former.size()];
+    } else if (kind == 1) {
+        report.address = "127.0.0.1:2";
+    }
+    agent->runWhenResumed([agent, report, kind] {
+        if (kind == 2) {
+            agent->agent.supervisor().handleDeparture(report.workerInstance);
+        } else {
+            agent->agent.supervisor().handleReport(report);
+        }
+        agent->agent.flush();
+    });
+}
+
 void dispatch_history::closeLink(std::size_t entry, std::size_t agent)
 {
     simulated_link &connection = link(entry, agent);
@@ -1116,13 +1162,14 @@
         && m_time.steadyNow() > drained + MAX_START_DELAY_AFTER_DRAIN + REPORT_INTERVAL) {
         recordViolation(run.task + " started on a draining worker");
     }
-    const std::string workerName = m_workers[worker]->name;
+    const worker_identity identity{m_workers[worker]->name, m_workers[worker]->address, m_workers[worker]->boot};
     const run_outcome outcome = random(50) == 0 ? run_outcome::failed : run_outcome::done;
     const bool isLong = random(8) == 0 || isRushed();
     const auto usual = m_hasPriorities ? static_cast<std::uint64_t>(ESTIMATES[job.priority].count()) : 20 + random(250);
-    m_time.after(milliseconds(isLong ? 1200 + random(1200) : usual), [this, worker, run, workerName, outcome] {
+    m_time.after(milliseconds(isLong ? 1200 + random(1200) : usual), [this, worker, run, identity, outcome] {
         fake_worker &runWorker = *m_workers[worker];
-        if (runWorker.name != workerName || !runWorker.active().contains(run)) {
+        const worker_identity present{runWorker.name, runWorker.address, runWorker.boot};
+        if (present != identity || !runWorker.active().contains(run)) {
             return;
         }
         if (outcome == run_outcome::done) {
--- a/src/dispatch/tests/dispatch_history.h
+++ b/src/dispatch/tests/dispatch_history.h
@@ -96,9 +96,10 @@
  * A random history of a fleet: entries, agents, workers and callers in virtual time, with random jobs and faults.
  *
  * Entries and agents are the objects that the daemons use; workers and the network are simulated. Processes are killed, restarted and
- * suspended, and links are cut and reset. Workers are restarted and drained, and orders to them arrive late or are lost. A random part of
- * the jobs is handed over between entries, whose links have the same faults; cancels of such jobs are lost at times. The invariants are
- * checked at every start of a run, at every answer and at every run that an entry stops for a higher priority.
+ * suspended, and links are cut and reset. Workers are restarted, some of them under the name that they had, and drained, and orders to them
+ * arrive late or are lost. Agents get reports of former boots, reports with other addresses and false departures. A random part of the jobs
+ * is handed over between entries, whose links have the same faults; cancels of such jobs are lost at times. The invariants are checked at
+ * every start of a run, at every answer and at every run that an entry stops for a higher priority.
  */
 class dispatch_history
 {
@@ -154,6 +155,10 @@
     void killEntry(std::size_t index, bool isPowerLoss);
     void killAgent(std::size_t index);
     void restartWorker(std::size_t index);
+    /// Sends an agent now and then what does not come from its worker as it is: a late report of a former boot, a report with another
+    /// address, a repeated one, or the announcement of a departure.
+    void scheduleMisleadingReports();
+    void misleadAgent(std::size_t index);
     void closeLink(std::size_t entry, std::size_t agent);
     void closeEntryLink(std::size_t one, std::size_t other);
     void openEntryLinks();
@@ -174,6 +179,12 @@
     std::vector<std::unique_ptr<fake_worker>> m_workers;
     std::vector<steady_time> m_drainedSince;
     std::vector<int> m_workerInstances;
+    /// The last reports of the former boots of each worker.
+    std::vector<std::vector<worker_report>> m_formerReports;
+    /// Whether the workers state their boots. Half of their restarts are then under the same name.
+    bool m_areBootsStated;
+    /// Decides about names and misleading reports, so that the other decisions of a seed do not depend on them.
+    std::mt19937_64 m_identityRandom;
     std::vector<std::unique_ptr<simulated_link>> m_links;
     std::vector<std::unique_ptr<simulated_link>> m_entryLinks;
     std::vector<std::shared_ptr<entry_process>> m_entries;
