Runs of a former boot are not given up while the new boot is silent

What callers would see: two runs of a task at the same time, after a reboot under the same id whose list has been seen once, if the new boot then falls silent while another worker reports or a departure is announced.

Cause: a worker without a lease was taken for one without runs, which held until boots under one id were told apart; giving way reported the runs whose start may have reached the new boot, before the lease there had ended.

Evidence: runs-test, "a run that has reached a new boot is reported only after its lease ...", has four variants now; the one without a second answer and with a misleading report failed before (a result while the run was active), all pass with the change.

Why it works: a worker without a lease gives way only when it has no runs; they end with the longest lease that the worker can have granted.

--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -461,7 +461,7 @@
             // There is one agent process at a time, so a late call of an earlier one, to a former boot, has brought the higher token.
             m_worker->raiseFencingToken();
         }
-        if (!m_worker->hasLease) {
+        if (!m_worker->hasLease && m_table.runs().empty()) {
             giveWay();
         }
         return;
@@ -551,9 +551,9 @@
 
 void run_supervisor::checkLeaseExpiry()
 {
-    // Runs without a lease are those of a former boot.
-    const bool mayHaveRuns = m_worker->hasLease || !m_table.runs().empty();
-    if (m_time.steadyNow() < m_worker->clock.latestLeaseEnd() + STOP_MARGIN || !mayHaveRuns) {
+    // A worker without a lease has runs only if they were ordered from a former boot of it.
+    const bool hasNothingToEnd = !m_worker->hasLease && m_table.runs().empty();
+    if (hasNothingToEnd || m_time.steadyNow() < m_worker->clock.latestLeaseEnd() + STOP_MARGIN) {
         return;
     }
     m_worker->hasLease = false;
--- a/src/runs/tests/run_supervisor_test.cpp
+++ b/src/runs/tests/run_supervisor_test.cpp
@@ -644,19 +644,61 @@
     }
 }
 
-/// Guards against runs on a new boot that are given to another worker while the new boot is silent but runs on.
+namespace
+{
+
+/// Silences a worker from a decision of its agent on.
+class silencing_listener : public journal_listener
+{
+public:
+    silencing_listener(fake_worker &worker, std::string event)
+        : m_worker(worker)
+        , m_event(std::move(event))
+    {
+    }
+
+    void handleDecision(const journal_entry &entry) override
+    {
+        if (entry.event == m_event) {
+            m_worker.renewalDelivery = fake_worker::order_delivery::lost;
+        }
+    }
+
+private:
+    fake_worker &m_worker;
+    std::string m_event;
+};
+
+}
+
+/// Guards against runs on a new boot that are given to another worker while the new boot is silent but runs on, also if its departure was
+/// announced or another worker reports.
 TEST_CASE("a run that has reached a new boot is reported only after its lease if the new boot does not answer any more")
 {
-    reboot_fixture test;
-    test.reboot();
-    test.order(2, "job.0.0.1");
-    test.run(milliseconds(25));
-    test.worker.renewalDelivery = fake_worker::order_delivery::lost;
-    for (int tick = 0; tick < 100; ++tick) {
-        test.run(supervisor_fixture::TICK);
-        REQUIRE((test.hasResult(2) ? test.worker.active().empty() : true));
+    for (const std::string event : {"worker_rebooted", "worker_held"}) {
+        for (const bool isMisled : {false, true}) {
+            CAPTURE(event);
+            CAPTURE(isMisled);
+            reboot_fixture test;
+            silencing_listener listener(test.worker, event);
+            test.reboot();
+            test.order(2, "job.0.0.1");
+            test.journal.setListener(&listener);
+            test.run(supervisor_fixture::TICK);
+            REQUIRE(test.worker.renewalDelivery == fake_worker::order_delivery::lost);
+            REQUIRE(test.worker.active() == std::set<run_key>{{"job.0.0.1", 1}});
+            if (isMisled) {
+                test.supervisor->handleDeparture("worker-1");
+                test.supervisor->handleReport(test.late);
+            }
+            for (int tick = 0; tick < 100; ++tick) {
+                test.run(supervisor_fixture::TICK);
+                REQUIRE((test.hasResult(2) ? test.worker.active().empty() : true));
+            }
+            CHECK(test.hasResult(2));
+            test.journal.setListener(nullptr);
+        }
     }
-    CHECK(test.hasResult(2));
 }
 
 /// Guards against an agent that can use its worker only after hours, because a call of the agent's former process has taken a token on the
