Preemption: a stopped job must be done by its caller's deadline

What callers saw: a run could be stopped for another queue only if its job would end within three times its objective, whatever time its caller had, and a job that a stop makes late counted double.

--- a/src/dispatch/preemption_policy.h
+++ b/src/dispatch/preemption_policy.h
@@ -39,7 +39,7 @@
     /// Runs of the same task and of the same job that were stopped before.
     std::uint32_t preemptedRunsOfTask = 0;
     std::uint32_t preemptedRunsOfJob = 0;
-    /// What it costs that the run's job is expected to miss its latency objective because of the stop, as an amount of work; otherwise 0.
+    /// Work of the run's job if the stop is expected to make it miss its latency objective; otherwise 0.
     double delayedWork = 0;
 
     /// Returns the work that is lost if the run is stopped, in thousandths of a core times microseconds. The time that the stop takes
@@ -63,7 +63,7 @@
     /// Shapes of the waiting tasks that are expected to start too late.
     std::vector<task_shape> tasks;
     std::vector<preemptible_worker> workers;
-    /// Work of the job, which is lost to its caller when it is late, in thousandths of a core times microseconds.
+    /// Work of the job, which would miss its latency objective without a stop, in thousandths of a core times microseconds.
     double gainedWork = 0;
     /// Work that may be lost at most, because of the limit over time.
     double lossBudget = 0;
--- a/src/dispatch/run_preemption.cpp
+++ b/src/dispatch/run_preemption.cpp
@@ -18,23 +18,11 @@
 /// Maximum number of jobs for which runs are considered in one decision.
 constexpr std::size_t MAX_CONSIDERED_JOBS = 16;
 
-/// Multiple of its latency objective after which a job has no value.
-constexpr int VALUE_OBJECTIVES = 3;
-
 /// Multiple of the estimated wait that a job is assumed to wait after one of its runs was stopped, since higher priorities come first.
 constexpr int WAIT_FACTOR = 2;
 
-/// Weight of the work of a job that a stop makes late: its caller is not served in time, and its capacity is used all the same.
-constexpr double DELAY_WEIGHT = 2;
-
 constexpr double PERCENT = 100;
 
-/// Returns the time after which the job has no value: after three times its objective, or when its caller waits no longer.
-steady_time endOfValue(const active_job &job)
-{
-    return std::min(job.arrival + VALUE_OBJECTIVES * (job.latencyObjective() - job.arrival), job.deadline);
-}
-
 microseconds expectedTime(const pooled_worker &worker, const outstanding_run &run)
 {
     return microseconds(static_cast<std::int64_t>(static_cast<double>(run.estimate.count()) * worker.performance.slowness()));
@@ -237,8 +225,8 @@
             continue;
         }
         const steady_time end = expectedEnd(owner, expectedWait(owner));
-        if (end <= endOfValue(owner)) {
-            candidate.delayedWork = end > owner.latencyObjective() ? DELAY_WEIGHT * owner.totalWork() : 0;
+        if (end <= owner.deadline) {
+            candidate.delayedWork = end > owner.latencyObjective() ? owner.totalWork() : 0;
             result.runs.push_back(candidate);
         }
     }
@@ -247,7 +235,7 @@
 
 steady_time run_preemption::expectedEnd(const active_job &job, microseconds expectedWait) const
 {
-    return m_time.steadyNow() + PREEMPTION_TIME + WAIT_FACTOR * expectedWait + job.criticalPathDuration();
+    return m_time.steadyNow() + PREEMPTION_TIME + WAIT_FACTOR * expectedWait + job.remainingWorkTime();
 }
 
 void run_preemption::stop(const preempted_run &run, const active_job &beneficiary, std::map<std::uint64_t, active_job> &jobs)
