--- a/src/dispatch/readiness_policy.cpp
+++ b/src/dispatch/readiness_policy.cpp
@@ -2,28 +2,32 @@
 
 #include <algorithm>
 
+#include "dispatch/link_budget.h"
+#include "dispatch/processor_budget.h"
+
 namespace azuremoor
 {
 
 namespace
 {
 
-/// Part of the elapsed time that enters the account: a little less than an eighth.
-constexpr double ACCOUNT_SHARE = 0.12;
+/// Three quarters of the entries of a data centre stay ready.
+constexpr std::size_t READY_NUMERATOR = 3;
+constexpr std::size_t READY_DENOMINATOR = 4;
+
+/// Part of the elapsed time that enters the account: the part of the entries that need not be ready.
+constexpr double ACCOUNT_SHARE = 1 - static_cast<double>(READY_NUMERATOR) / READY_DENOMINATOR;
 
-/// Longest time without readiness in one piece.
+/// Longest time without readiness in one piece. By then new connections have gone elsewhere for a while, and a shortage that is left is not
+/// theirs.
 constexpr double MAX_ACCOUNT = static_cast<double>(microseconds(seconds(4)).count());
 
 /// Time that is kept in the account, so that an update that comes late does not overdraw it.
 constexpr double ACCOUNT_RESERVE = static_cast<double>(microseconds(milliseconds(100)).count());
 
-/// Three quarters of the entries of a data centre stay ready.
-constexpr std::size_t READY_NUMERATOR = 3;
-constexpr std::size_t READY_DENOMINATOR = 4;
-
-/// Delays from which on a resource is short: jobs of 60 ms have 96 ms to start.
-constexpr microseconds SHORT_PROCESSOR_DELAY = milliseconds(10);
-constexpr microseconds SHORT_LINK_DELAY = milliseconds(50);
+/// Delays from which on a resource is short: requests will soon not be read at once, and orders wait for longer than a burst on the link.
+constexpr microseconds SHORT_PROCESSOR_DELAY = PROMPT_READ_DELAY / 2;
+constexpr microseconds SHORT_LINK_DELAY = 2 * LINK_BURST;
 
 }
 
--- a/src/dispatch/readiness_policy.h
+++ b/src/dispatch/readiness_policy.h
@@ -20,8 +20,8 @@
  *
  * The entry is not ready only after it has been short without a break for MIN_STATE_TIME, and then for at least as long again. At least
  * three quarters of the known entries of its data centre, this one included, stay ready; an entry is ready again at once when that
- * no longer holds. It is not ready for less than an eighth of the time: time without readiness is taken from an account that is filled
- * more slowly than that and is empty at the start.
+ * no longer holds. When all of them are short, each takes its turn as one of the quarter that is not ready: time without readiness is taken
+ * from an account that is filled with a quarter of the elapsed time and is empty at the start.
  */
 class readiness_policy
 {
