A job that is submitted again is no new demand

What callers saw: each return of a refused caller counted as more demand, which shortened the wait that everybody else was allowed and moved shares.

For all else it is treated as a first try. The new test of the dispatcher fails without the change: the asked rate rises with the second submission.

--- a/src/dispatch/active_job.h
+++ b/src/dispatch/active_job.h
@@ -152,6 +152,8 @@
     bool isPlacementTried = false;
     /// Free capacity was left unused for the waiting tasks in the latest attempt to place them; see `placement_policy::hasDeclined`.
     bool isDeclining = false;
+    /// The job was submitted here a short time before, so that its work counts as asked for already.
+    bool isRepeated = false;
     /// When the job's turn comes if its account gets no more than its fair part of the capacity; not after its arrival without an overload.
     steady_time shareStart;
     /// When the expected wait is checked again while the job has not started.
--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -50,6 +50,7 @@
     , m_journal(time, journal)
     , m_priorities(priorities)
     , m_exclusions(pool)
+    , m_askedJobs(time)
     , m_mover(time, pool, placement, stragglers, journal)
     , m_processor(processor)
     , m_link(time, link, m_waitingJobs)
@@ -81,7 +82,10 @@
     job.readDelay = m_time.steadyNow() - arrival;
     job.nextAdmissionCheck = m_time.steadyNow() + WAITING_CHECK_INTERVAL;
     job.caller = std::move(caller);
-    m_localLoad.recordAskedWork(job.waitingWork(), m_time.steadyNow());
+    job.isRepeated = m_askedJobs.recordSubmission(job.spec.id);
+    if (!job.isRepeated) {
+        m_localLoad.recordAskedWork(job.waitingWork(), m_time.steadyNow());
+    }
     if (active != nullptr) {
         const std::string reason = active->isEnding ? "runs of an earlier submission of the job are being stopped"
                                                     : "a job of this identifier is active in another queue or at another service";
--- a/src/dispatch/job_dispatcher.h
+++ b/src/dispatch/job_dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "base/decision_journal.h"
 #include "dispatch/active_job.h"
+#include "dispatch/asked_jobs.h"
 #include "dispatch/caller_presence.h"
 #include "dispatch/job_admission.h"
 #include "dispatch/job_answer.h"
@@ -243,6 +244,7 @@
     std::optional<run_preemption> m_preemption;
     std::map<std::uint64_t, active_job> m_jobs;
     task_exclusions m_exclusions;
+    asked_jobs m_askedJobs;
     std::map<std::string, std::uint64_t> m_jobNumbersById;
     std::map<std::uint64_t, std::uint64_t> m_jobNumbersByRequest;
     urgency_queue m_waitingJobs;
--- a/src/dispatch/priority_control.cpp
+++ b/src/dispatch/priority_control.cpp
@@ -46,7 +46,7 @@
 
 void priority_control::recordAsked(const active_job &job)
 {
-    if (!isActive() || !job.origin.empty()) {
+    if (!isActive() || !job.origin.empty() || job.isRepeated) {
         return;
     }
     const steady_time now = m_time.steadyNow();
--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -481,6 +481,23 @@
     CHECK(test.orderedRuns.size() == 40);
 }
 
+// Guards against refused callers who return and make the entry believe that more is asked of it, so that all others wait for less.
+TEST_CASE("burst: a refused job that its caller submits again is no more demand than the first time")
+{
+    dispatcher_fixture test;
+    test.addWorker("one");
+    for (std::uint64_t request = 1; request <= 40; ++request) {
+        test.submit(request, "job" + std::to_string(request), 4);
+    }
+    REQUIRE(test.answers.contains(40));
+    const double asked = test.localLoad.askedMilliCores(test.time.steadyNow());
+    test.submit(41, "job40", 4);
+    CHECK(test.answers.at(41).kind == answer_kind::refused_full);
+    CHECK(test.localLoad.askedMilliCores(test.time.steadyNow()) == doctest::Approx(asked));
+    test.submit(42, "new", 4);
+    CHECK(test.localLoad.askedMilliCores(test.time.steadyNow()) > asked);
+}
+
 TEST_CASE("short and long jobs: a short job starts before a long one that arrived earlier")
 {
     dispatcher_fixture test;
