--- a/src/daemon/process_frame.cpp
+++ b/src/daemon/process_frame.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds HOUSEKEEPING_INTERVAL{20};
 constexpr milliseconds LOOP_REPORT_INTERVAL{1000};
 
-/// Delay of events from which the second is logged: a tenth of the shortest latency objectives that are in use.
+/// Delay of events from which the second is logged: nearly as long as a request may wait to be read in an overload.
 constexpr milliseconds MIN_LOGGED_DELAY{15};
 
 /// Time that a process whose planned stop is over takes at most to read and answer the requests that have arrived.
--- a/src/dispatch/benchmarks/benchmark_fleet.cpp
+++ b/src/dispatch/benchmarks/benchmark_fleet.cpp
@@ -22,9 +22,6 @@
 /// Time for which callers wait.
 constexpr microseconds CALLER_PATIENCE = milliseconds(1500);
 
-/// Multiple of its objective after which the result of a job has no value.
-constexpr double WORTHLESS_OBJECTIVES = 3;
-
 constexpr std::size_t PAYLOAD_BYTES = 1000;
 
 /// Rate that placement assumes of a link without limit: 50 Mbit/s.
@@ -437,11 +434,10 @@
     const double criticalPath = rule.slackFactor * static_cast<double>(m_load.jobs[job].estimate.count());
     const microseconds objective = microseconds(static_cast<std::int64_t>(criticalPath)) + rule.targetLatency;
     const microseconds elapsed = m_time.steadyNow() - m_begin - m_load.jobs[job].arrival;
-    const double objectives = static_cast<double>(elapsed.count()) / static_cast<double>(objective.count());
     switch (answer.kind) {
     case answer_kind::completed:
         m_jobs[job].fate = elapsed <= objective ? job_fate::in_time : job_fate::late;
-        m_jobs[job].value = std::clamp((WORTHLESS_OBJECTIVES - objectives) / (WORTHLESS_OBJECTIVES - 1), 0.0, 1.0);
+        m_jobs[job].lag = lagOf(m_load.jobs[job], elapsed);
         return;
     case answer_kind::refused_full:
     case answer_kind::refused_unavailable:
--- a/src/dispatch/benchmarks/benchmark_result.cpp
+++ b/src/dispatch/benchmarks/benchmark_result.cpp
@@ -68,7 +68,7 @@
             {"late", group.late},
             {"refused", group.refused},
             {"refused_beside_free", group.refusedBesideFree},
-            {"value", group.value},
+            {"lag", group.lag},
             {"mean_wait_ms", group.meanWait},
             {"p95_wait_ms", group.highWait}};
 }
@@ -99,13 +99,20 @@
     return NAMES[static_cast<std::size_t>(group)];
 }
 
+double lagOf(const benchmark_job &job, microseconds elapsed)
+{
+    const microseconds longest = *std::ranges::max_element(job.runTimes);
+    return static_cast<double>(elapsed.count()) / static_cast<double>(longest.count());
+}
+
 benchmark_group summarize(const benchmark_load &load, const benchmark_result &result, size_group group, int kind)
 {
     benchmark_group summary;
     std::size_t inTime = 0;
     std::size_t refused = 0;
     std::size_t refusedBesideFree = 0;
-    double value = 0;
+    std::size_t completed = 0;
+    double lag = 0;
     std::vector<double> waits;
     for (std::size_t each = 0; each < load.kinds.size(); ++each) {
         if (kind >= 0 && each != static_cast<std::size_t>(kind)) {
@@ -117,7 +124,8 @@
             inTime += job.fate == job_fate::in_time ? 1 : 0;
             refused += job.fate == job_fate::refused ? 1 : 0;
             refusedBesideFree += job.isRefusedBesideFree ? 1 : 0;
-            value += job.value;
+            completed += job.fate >= job_fate::late ? 1 : 0;
+            lag += job.lag;
             if (job.wait >= microseconds(0)) {
                 waits.push_back(static_cast<double>(job.wait.count()) / 1000);
             }
@@ -126,7 +134,7 @@
     summary.inTime = share(inTime, summary.jobs);
     summary.refused = share(refused, summary.jobs);
     summary.refusedBesideFree = share(refusedBesideFree, summary.jobs);
-    summary.value = summary.jobs == 0 ? 0 : value / static_cast<double>(summary.jobs);
+    summary.lag = completed == 0 ? 0 : lag / static_cast<double>(completed);
     summary.late = share(summary.jobs - inTime - refused, summary.jobs);
     fillWaits(std::move(waits), summary);
     return summary;
--- a/src/dispatch/benchmarks/benchmark_result.h
+++ b/src/dispatch/benchmarks/benchmark_result.h
@@ -29,10 +29,13 @@
     microseconds wait{-1};
     /// Refused although all of its tasks fitted into capacity that was free on the workers.
     bool isRefusedBesideFree = false;
-    /// 1 for a job in time, less for a late one, down to 0 at three times its objective.
-    double value = 0;
+    /// Time from the arrival to the answer of a completed job, as a multiple of its longest run; 0 for others.
+    double lag = 0;
 };
 
+/// Returns the lag of a job that was completed after the given time.
+double lagOf(const benchmark_job &job, microseconds elapsed);
+
 /// Outcome of one load under one policy.
 struct benchmark_result {
     std::string load;
@@ -65,8 +68,8 @@
     double late = 0;
     double refused = 0;
     double refusedBesideFree = 0;
-    /// Mean value of a job.
-    double value = 0;
+    /// Mean lag of the completed jobs.
+    double lag = 0;
     /// Mean and 95% quantile of the waits of jobs that started, in milliseconds.
     double meanWait = 0;
     double highWait = 0;
--- a/src/dispatch/benchmarks/placement_benchmark.cpp
+++ b/src/dispatch/benchmarks/placement_benchmark.cpp
@@ -131,17 +131,18 @@
     out << std::left << std::setw(12) << load.name << std::right << std::setw(6) << percent(load.demand) << "  " << std::left
         << std::setw(24) << result.policy << std::right << std::setw(7) << all.jobs << std::setw(8) << percent(all.inTime) << std::setw(7)
         << percent(all.late) << std::setw(8) << percent(all.refused) << std::setw(7) << percent(all.refusedBesideFree) << std::setw(7)
-        << percent(all.value) << std::setw(9) << percent(largest.inTime) << std::setw(7) << percent(next.inTime) << std::setw(8)
-        << percent(others.inTime) << std::fixed << std::setprecision(0) << std::setw(9) << largest.highWait << std::setw(7) << next.highWait
-        << std::setw(8) << others.highWait << std::setw(7) << percent(result.lostWorkShare()) << std::setw(9) << result.orders
-        << std::setw(9) << result.refusedOrders << std::setw(9) << result.payloads << std::setw(8) << result.reservations << std::setw(7)
-        << result.usedReservations << std::setw(9) << result.backfilledOrders << '\n';
+        << std::fixed << std::setprecision(2) << all.lag << std::setw(9) << percent(largest.inTime) << std::setw(7) << percent(next.inTime)
+        << std::setw(8) << percent(others.inTime) << std::fixed << std::setprecision(0) << std::setw(9) << largest.highWait << std::setw(7)
+        << next.highWait << std::setw(8) << others.highWait << std::setw(7) << percent(result.lostWorkShare()) << std::setw(9)
+        << result.orders << std::setw(9) << result.refusedOrders << std::setw(9) << result.payloads << std::setw(8) << result.reservations
+        << std::setw(7) << result.usedReservations << std::setw(9) << result.backfilledOrders << '\n';
 }
 
 void printHeader(std::ostream &out)
 {
-    out << "in time, late, refused, lost work in percent; waits are 95% quantiles in ms; largest tenth, the fifth below it, the others\n"
-        << "load        demand  policy                     jobs in-time   late refused   free  value  largest   next  others  w-large "
+    out << "in time, late, refused, lost work in percent; lag: mean time to the answer by the longest run; waits are 95% quantiles in ms; "
+           "largest tenth, the fifth below it, the others\n"
+        << "load        demand  policy                     jobs in-time   late refused   free    lag  largest   next  others  w-large "
            "w-next w-other   lost"
            "   orders  refused payloads reserved   used backfill\n";
 }
--- a/src/dispatch/benchmarks/single_queue.cpp
+++ b/src/dispatch/benchmarks/single_queue.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 
+/// What the operator's configuration of the queues says.
 constexpr double SLACK_FACTOR = 1.6;
 constexpr microseconds TARGET_LATENCY = milliseconds(60);
 
@@ -86,7 +87,7 @@
         job_state &state = m_states[end.job];
         if (++state.endedTasks == m_load.jobs[end.job].runTimes.size()) {
             state.record.fate = m_now <= objective(end.job) ? job_fate::in_time : job_fate::late;
-            state.record.value = state.record.fate == job_fate::in_time ? 1 : 0;
+            state.record.lag = lagOf(m_load.jobs[end.job], m_now - m_load.jobs[end.job].arrival);
         }
     }
 
