A job is given up for crashes only if two workers crashed under one of its tasks

With twenty bad jobs a second a wide job meets three of them by chance.

Now no job is given up while none of its tasks has lost two workers. The new test of the ledger fails without the change (given up after the third crash) and passes with it; crash-test is as before, with its known red.

--- a/src/dispatch/crash_ledger.cpp
+++ b/src/dispatch/crash_ledger.cpp
@@ -14,8 +14,14 @@
 /// Rounds after which a job is given up if nothing else explains the crashes.
 constexpr std::size_t SUFFICIENT_CRASH_ROUNDS = 2;
 
+/// Crashes under one task without which its job is not given up, whatever happened to the others.
+constexpr std::size_t MIN_CRASHES_UNDER_ONE_TASK = 2;
+
 bool isToBlame(const crash_evidence &evidence)
 {
+    if (evidence.crashesUnderOneTask() < MIN_CRASHES_UNDER_ONE_TASK) {
+        return false;
+    }
     return evidence.rounds() >= MAX_CRASH_ROUNDS || evidence.crashesUnderOneTask() >= MAX_CRASH_ROUNDS
         || (evidence.rounds() >= SUFFICIENT_CRASH_ROUNDS && evidence.areAllSoon() && evidence.wasAlone());
 }
--- a/src/dispatch/tests/crash_ledger_test.cpp
+++ b/src/dispatch/tests/crash_ledger_test.cpp
@@ -155,6 +155,20 @@
     CHECK(test.ledger.verdictOf("job") == crash_verdict::given_up);
 }
 
+/// Guards against a sound job of many tasks that fails because each of them ran once beside one that crashes its workers: only a task under
+/// which two workers have crashed may be given up.
+TEST_CASE("a job is not given up while no task of it has lost two workers")
+{
+    ledger_fixture test;
+    for (int round = 0; round < 5; ++round) {
+        test.crash({"wide.0.0." + std::to_string(round), "other" + std::to_string(round) + ".0.0.0"});
+        test.time.run(milliseconds(500));
+    }
+    CHECK(test.ledger.verdictOf("wide") != crash_verdict::given_up);
+    test.crash({"wide.0.0.0", "another.0.0.0"});
+    CHECK(test.ledger.verdictOf("wide") == crash_verdict::given_up);
+}
+
 /// Guards against memory that grows with the crashes, and against evidence that is dropped where it matters most.
 TEST_CASE("a ledger keeps a bounded number of jobs, those with the most evidence longest")
 {
