A crash under an order that had not begun is none under its task

Cause: the agent lists every run that it has passed on; the ledger knew of orders just before a crash for suspicion, not for the count of one task.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -31,7 +31,10 @@
     for (const lost_run &run : runs) {
         const std::uint64_t task = XXH3_64bits(run.task.data(), run.task.size());
         if (m_crashesByTask.size() < MAX_TASKS || m_crashesByTask.contains(task)) {
-            m_crashesUnderOneTask = std::max<std::size_t>(m_crashesUnderOneTask, ++m_crashesByTask[task]);
+            task_crashes &crashes = m_crashesByTask[task];
+            m_mostCrashes.all = std::max(m_mostCrashes.all, ++crashes.all);
+            crashes.begun += run.hadBegun ? 1 : 0;
+            m_mostCrashes.begun = std::max(m_mostCrashes.begun, crashes.begun);
         }
     }
 }
@@ -51,7 +54,12 @@
 
 std::size_t crash_evidence::crashesUnderOneTask() const
 {
-    return m_crashesUnderOneTask;
+    return m_mostCrashes.all;
+}
+
+std::size_t crash_evidence::begunCrashesUnderOneTask() const
+{
+    return m_mostCrashes.begun;
 }
 
 bool crash_evidence::areAllSoon() const
--- a/src/dispatch/crash_evidence.h
+++ b/src/dispatch/crash_evidence.h
@@ -18,6 +18,8 @@
     steady_time orderedAt;
     /// When the crash was noticed.
     steady_time lostAt;
+    /// Whether the run was ordered so long before that it had certainly begun.
+    bool hadBegun = true;
 };
 
 /**
@@ -42,6 +44,9 @@
     /// Returns the largest number of crashes that hit runs of the same task.
     std::size_t crashesUnderOneTask() const;
 
+    /// Returns the largest number of crashes that hit runs of the same task which had certainly begun.
+    std::size_t begunCrashesUnderOneTask() const;
+
     /// Returns whether all crashes were soon.
     bool areAllSoon() const;
 
@@ -64,9 +69,14 @@
     std::string m_queue;
     /// By the time of the crash. None contains another one, so that they are in the order of their beginnings too.
     std::vector<interval> m_intervals;
-    /// Crashes by the hash of the task's name.
-    std::map<std::uint64_t, std::uint32_t> m_crashesByTask;
-    std::size_t m_crashesUnderOneTask = 0;
+    struct task_crashes {
+        std::size_t all = 0;
+        std::size_t begun = 0;
+    };
+
+    /// Crashes by the hash of the task's name, and the largest numbers of them.
+    std::map<std::uint64_t, task_crashes> m_crashesByTask;
+    task_crashes m_mostCrashes;
     bool m_areAllSoon = true;
     bool m_wasAlone = false;
     steady_time m_lastCrashAt{};
--- a/src/dispatch/crash_ledger.cpp
+++ b/src/dispatch/crash_ledger.cpp
@@ -14,15 +14,18 @@
 /// Rounds after which a job is given up if nothing else explains the crashes.
 constexpr std::size_t SUFFICIENT_CRASH_ROUNDS = 2;
 
-/// Crashes under one task without which its job is not given up, whatever happened to the others.
+/// Crashes under begun runs of one task without which its job is not given up early, whatever happened to the others.
 constexpr std::size_t MIN_CRASHES_UNDER_ONE_TASK = 2;
 
 bool isToBlame(const crash_evidence &evidence)
 {
-    if (evidence.crashesUnderOneTask() < MIN_CRASHES_UNDER_ONE_TASK) {
+    if (evidence.crashesUnderOneTask() >= MAX_CRASH_ROUNDS) {
+        return true;
+    }
+    if (evidence.begunCrashesUnderOneTask() < MIN_CRASHES_UNDER_ONE_TASK) {
         return false;
     }
-    return evidence.rounds() >= MAX_CRASH_ROUNDS || evidence.crashesUnderOneTask() >= MAX_CRASH_ROUNDS
+    return evidence.rounds() >= MAX_CRASH_ROUNDS
         || (evidence.rounds() >= SUFFICIENT_CRASH_ROUNDS && evidence.areAllSoon() && evidence.wasAlone());
 }
 
@@ -63,7 +66,8 @@
     std::map<std::string_view, std::string_view> queues;
     for (const crashed_run &run : report.runs) {
         const std::string_view job = jobOfTask(run.task);
-        runsByJob[job].push_back({run.task, findings.noticedAt - milliseconds(run.ageMilliseconds), findings.noticedAt});
+        const milliseconds age(run.ageMilliseconds);
+        runsByJob[job].push_back({run.task, findings.noticedAt - age, findings.noticedAt, age >= m_limits.startTime});
         queues[job] = run.queue;
     }
     std::set<std::string_view> soonJobs;
--- a/src/dispatch/tests/crash_ledger_test.cpp
+++ b/src/dispatch/tests/crash_ledger_test.cpp
@@ -169,6 +169,21 @@
     CHECK(test.ledger.verdictOf("wide") == crash_verdict::given_up);
 }
 
+/// Guards against a sound job that fails because one of its tasks was ordered to a worker that crashed before it began.
+TEST_CASE("a crash under an order that had not begun is none under its task")
+{
+    ledger_fixture test;
+    for (int round = 0; round < 3; ++round) {
+        test.crash({"wide.0.0." + std::to_string(round), "other.0.0.0"});
+        test.time.run(milliseconds(500));
+    }
+    test.crash({"wide.0.0.0"}, 1);
+    CHECK(test.ledger.verdictOf("wide") != crash_verdict::given_up);
+    // After three crashes it is not started again, whatever the agent says of them.
+    test.crash({"wide.0.0.0"}, 1);
+    CHECK(test.ledger.verdictOf("wide") == crash_verdict::given_up);
+}
+
 /// Guards against memory that grows with the crashes, and against evidence that is dropped where it matters most.
 TEST_CASE("a ledger keeps a bounded number of jobs, those with the most evidence longest")
 {
