Agents say which lost runs their worker had confirmed, and when it answered last

A run is confirmed when the worker answers its start, or lists it. The report of a crash carries that for each run, worker_crashed and crash_recorded count them, and worker_lost and worker_rebooted give the age of the worker's last answer, from which on it crashed. No decision reads it yet.

--- a/src/dispatch/crash_ledger.cpp
+++ b/src/dispatch/crash_ledger.cpp
@@ -92,6 +92,7 @@
                     {"agent", agent},
                     {"age_ms", std::to_string(report.ageMilliseconds)},
                     {"runs", std::to_string(report.runs.size())},
+                    {"confirmed_runs", std::to_string(std::ranges::count(report.runs, start_evidence::confirmed, &crashed_run::start))},
                     {"jobs", std::to_string(runsByJob.size())},
                     {"soon_jobs", std::to_string(soonJobs.size())},
                     {"given_up", std::to_string(findings.givenUpQueues.size())}});
--- a/src/messages/crash_messages.h
+++ b/src/messages/crash_messages.h
@@ -13,7 +13,15 @@
 /// Maximum number of runs in a report of a crash. A worker with more of them is reported with those that began last.
 constexpr std::size_t MAX_CRASHED_RUNS = 128;
 
-/// A run that was under way on a worker when it crashed.
+/// What an agent knows of the start of a run that was lost in a crash.
+enum class start_evidence : std::uint8_t {
+    /// The start was sent and not answered: the worker may have crashed before it arrived.
+    none = 0,
+    /// The worker confirmed the start, or listed the run.
+    confirmed = 1,
+};
+
+/// A run that was ordered to a worker before its crash was noticed.
 struct crashed_run {
     /// Name of the task, unique across all jobs.
     std::string task;
@@ -21,6 +29,7 @@
     std::string queue;
     /// Time from the order to the worker until the crash was noticed, in milliseconds.
     std::uint32_t ageMilliseconds = 0;
+    start_evidence start = start_evidence::none;
 
     template<typename Archive>
     void serialize(Archive &archive)
@@ -28,6 +37,7 @@
         archiveText(archive, task);
         archiveText(archive, queue);
         archive(ageMilliseconds);
+        archiveEnumeration(archive, start, start_evidence::confirmed);
     }
 };
 
--- a/src/runs/run_agent.cpp
+++ b/src/runs/run_agent.cpp
@@ -212,14 +212,17 @@
 void run_agent::handleWorkerCrash(const std::string &workerInstance, std::vector<crashed_run> runs)
 {
     const std::size_t lostRuns = runs.size();
+    const auto confirmedRuns = std::ranges::count(runs, start_evidence::confirmed, &crashed_run::start);
     const crash_report report = m_crashes.add(std::move(runs));
     const crashed_run &youngest = report.runs.front();
     m_journal.note("worker_crashed",
                    {{"worker", workerInstance.substr(0, MAX_NAME_BYTES)},
                     {"crash", report.crash},
                     {"runs", std::to_string(lostRuns)},
+                    {"confirmed_runs", std::to_string(confirmedRuns)},
                     {"youngest_task", youngest.task.substr(0, MAX_NAME_BYTES)},
-                    {"youngest_age_ms", std::to_string(youngest.ageMilliseconds)}});
+                    {"youngest_age_ms", std::to_string(youngest.ageMilliseconds)},
+                    {"youngest_confirmed", youngest.start == start_evidence::confirmed ? "yes" : "no"}});
     for (const auto &[entry, sessionName] : m_currentSessions) {
         m_outbox.send(entry, report);
     }
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -31,7 +31,13 @@
 crashed_run toCrashedRun(const run_key &key, const supervised_run &run, steady_time now)
 {
     const auto age = std::chrono::duration_cast<milliseconds>(now - run.startedAt);
-    return {key.task, run.queue, static_cast<std::uint32_t>(age.count())};
+    const start_evidence start = run.isStartConfirmed ? start_evidence::confirmed : start_evidence::none;
+    return {key.task, run.queue, static_cast<std::uint32_t>(age.count()), start};
+}
+
+std::string millisecondsBetween(steady_time begin, steady_time end)
+{
+    return std::to_string((end - begin) / milliseconds(1));
 }
 
 }
@@ -304,7 +310,10 @@
 void run_supervisor::discardWorker(run_outcome outcome, const std::string &reason)
 {
     m_journal.note("worker_lost",
-                   {{"worker", m_worker->report.workerInstance}, {"reason", reason}, {"runs", std::to_string(m_table.runs().size())}});
+                   {{"worker", m_worker->report.workerInstance},
+                    {"reason", reason},
+                    {"runs", std::to_string(m_table.runs().size())},
+                    {"last_answer_ms", millisecondsBetween(m_worker->lastAnswer, m_time.steadyNow())}});
     const std::optional<worker_report> successor = m_contenders.takeSuccessor(m_worker->report.identity());
     m_worker.reset();
     while (!m_table.runs().empty()) {
@@ -322,7 +331,8 @@
                    {{"worker", former.workerInstance},
                     {"boot", std::to_string(response.boot)},
                     {"former_boot", std::to_string(former.boot)},
-                    {"runs", std::to_string(m_table.runs().size())}});
+                    {"runs", std::to_string(m_table.runs().size())},
+                    {"last_answer_ms", millisecondsBetween(m_worker->lastAnswer, m_time.steadyNow())}});
     worker_report booted;
     booted.workerInstance = former.workerInstance;
     booted.address = former.address;
@@ -390,6 +400,7 @@
     case worker_reply::accepted:
         m_worker->clock.addSample(clock);
         run.firstConclusiveRenewal = m_worker->lastRenewalNumber + 1;
+        run.isStartConfirmed = true;
         if (run.state == run_state::ordered) {
             run.state = run_state::running;
         }
@@ -545,6 +556,7 @@
         const auto found = m_table.runs().find(listed.run);
         if (found != m_table.runs().end()) {
             found->second.percent = listed.percent;
+            found->second.isStartConfirmed = true;
             found->second.isOfFormerBoot = false;
         }
     }
--- a/src/runs/run_table.h
+++ b/src/runs/run_table.h
@@ -35,6 +35,8 @@
     worker_milliseconds startDeadline = 0;
     /// The worker confirmed a stop, so the run cannot begin any more.
     bool isStopConfirmed = false;
+    /// The worker confirmed the start, or listed the run.
+    bool isStartConfirmed = false;
     /// Number of the first renewal whose answer is certain to list the run if it is in progress; 0 while unknown.
     std::uint64_t firstConclusiveRenewal = 0;
     steady_time nextStopAttempt;
--- a/src/runs/tests/crash_report_test.cpp
+++ b/src/runs/tests/crash_report_test.cpp
@@ -190,6 +190,27 @@
     CHECK(fields.at("runs") == "2");
     CHECK(fields.at("youngest_task") == "job.0.0.0");
     CHECK(std::stoi(fields.at("youngest_age_ms")) >= 50);
+    CHECK(fields.at("confirmed_runs") == "2");
+    CHECK(fields.at("youngest_confirmed") == "yes");
+    const auto lost = std::ranges::find(journal.entries(), "worker_lost", &journal_entry::event);
+    REQUIRE(lost != journal.entries().end());
+    const std::map<std::string, std::string> lostFields(lost->fields.begin(), lost->fields.end());
+    CHECK(std::stoi(lostFields.at("last_answer_ms")) <= 50);
+}
+
+/// Guards against a crash that is put down to a task whose worker had crashed before the order reached it.
+TEST_CASE_FIXTURE(crash_fixture, "the report says which runs the worker had confirmed")
+{
+    order(1, "job.0.0.0");
+    run(milliseconds(50));
+    worker.startDelivery = fake_worker::order_delivery::lost;
+    order(2, "job.0.0.1");
+    crash();
+    REQUIRE(reportsTo("one").size() == 1);
+    const std::vector<crashed_run> runs = reportsTo("one").front().runs;
+    REQUIRE(runs.size() == 2);
+    CHECK(runs[0].start == start_evidence::none);
+    CHECK(runs[1].start == start_evidence::confirmed);
 }
 
 /// Guards against an entry that starts a task again which has crashed workers, because it was not connected when they crashed.
