--- a/src/dispatch/tests/crash_fleet.cpp
+++ b/src/dispatch/tests/crash_fleet.cpp
@@ -113,6 +113,13 @@
     crash(m_agents[worker]);
 }
 
+void crash_fleet::crashWorkers(std::size_t count, milliseconds noticeInterval)
+{
+    for (std::size_t worker = 0; worker < count; ++worker) {
+        crash(m_agents[worker], noticeInterval * static_cast<std::int64_t>(worker + 1));
+    }
+}
+
 void crash_fleet::killEntry(std::size_t entry)
 {
     m_entries[entry]->isAlive = false;
@@ -179,16 +186,21 @@
 
 void crash_fleet::start(std::size_t from, agent_state &agent, const std::string &worker, const run_order &order)
 {
-    if (!agent.isUp || worker != agent.name + '-' + std::to_string(agent.instance)) {
+    if (agent.isKnownDown || worker != agent.name + '-' + std::to_string(agent.instance)) {
         sendResult(agent, from, order.sequence, run_outcome::closed);
         return;
     }
+    if (!agent.isUp) {
+        agent.runs.push_back({from, order.sequence, order.task, order.queue, time.steadyNow(), false, start_evidence::none});
+        return;
+    }
     if (m_crashesByTask[order.task] >= CRASH_BUDGET) {
         m_startsOverBudget.insert(order.task);
     }
     agentsByQueue[order.queue].insert(agent.name);
-    agent.runs.push_back({from, order.sequence, order.task, order.queue, time.steadyNow()});
     const task_behaviour &behaviour = m_behaviours.at(jobOf(order.task));
+    const start_evidence evidence = behaviour.isConfirmed ? start_evidence::confirmed : start_evidence::none;
+    agent.runs.push_back({from, order.sequence, order.task, order.queue, time.steadyNow(), true, evidence});
     const bool isDeadly = behaviour.crashesAfter > milliseconds(0);
     time.after(isDeadly ? behaviour.crashesAfter : behaviour.duration,
                [this, &agent, from, sequence = order.sequence, instance = agent.instance, isDeadly] {
@@ -213,18 +225,36 @@
     }
 }
 
-void crash_fleet::crash(agent_state &agent)
+void crash_fleet::crash(agent_state &agent, milliseconds noticeDelay)
 {
     if (!agent.isUp) {
         return;
     }
     agent.isUp = false;
+    for (const active_run &run : agent.runs) {
+        m_crashesByJob[jobOf(run.task)].insert(agent.name + '-' + std::to_string(agent.instance));
+        ++m_crashesByTask[run.task];
+    }
+    if (noticeDelay > milliseconds(0)) {
+        time.after(noticeDelay, [this, &agent] { noticeCrash(agent); });
+    } else {
+        noticeCrash(agent);
+    }
+    time.after(returnTime, [this, &agent] {
+        agent.isUp = true;
+        agent.isKnownDown = false;
+        ++agent.instance;
+        sendStatus(agent);
+    });
+}
+
+void crash_fleet::noticeCrash(agent_state &agent)
+{
+    agent.isKnownDown = true;
     crash_report report{agent.name + '-' + std::to_string(agent.instance), 0, {}};
     for (const active_run &run : agent.runs) {
         const auto age = std::chrono::duration_cast<milliseconds>(time.steadyNow() - run.startedAt);
-        report.runs.push_back({run.task, run.queue, static_cast<std::uint32_t>(age.count())});
-        m_crashesByJob[jobOf(run.task)].insert(report.crash);
-        ++m_crashesByTask[run.task];
+        report.runs.push_back({run.task, run.queue, static_cast<std::uint32_t>(age.count()), run.evidence});
     }
     m_crashes.push_back({agent.name, report, time.steadyNow()});
     for (const std::unique_ptr<entry_process> &each : m_entries) {
@@ -238,11 +268,6 @@
         sendResult(agent, run.entry, run.sequence, run_outcome::worker_lost);
     }
     sendStatus(agent);
-    time.after(returnTime, [this, &agent] {
-        agent.isUp = true;
-        ++agent.instance;
-        sendStatus(agent);
-    });
 }
 
 void crash_fleet::sendResult(agent_state &agent, std::size_t to, std::uint64_t sequence, run_outcome outcome)
@@ -259,7 +284,7 @@
 void crash_fleet::sendStatus(agent_state &agent)
 {
     worker_status status;
-    if (agent.isUp) {
+    if (!agent.isKnownDown) {
         status.ready = true;
         status.worker = agent.name + '-' + std::to_string(agent.instance);
         status.service = "desk";
--- a/src/dispatch/tests/crash_fleet.h
+++ b/src/dispatch/tests/crash_fleet.h
@@ -20,10 +20,12 @@
     milliseconds duration{100};
     /// Time from the start of a task until it crashes its worker; 0 if it does not.
     milliseconds crashesAfter{0};
+    /// The worker confirms the start, unless the task crashes it before it can.
+    bool isConfirmed = true;
 };
 
 /// Entries that share workers, and tasks that crash them. Messages take a fixed time; a crashed worker is back after some seconds. An agent
-/// reports a crash to all entries, before the results of the lost runs.
+/// reports a crash to all entries when it notices it, before the results of the lost runs.
 class crash_fleet
 {
 public:
@@ -37,6 +39,10 @@
     /// Crashes the worker without a task that is to blame.
     void crashWorker(std::size_t worker);
 
+    /// Crashes the first workers at one moment. Their agents notice one after the other, the first of them after the given interval. An
+    /// order that arrives before that is passed on to nobody.
+    void crashWorkers(std::size_t count, milliseconds noticeInterval);
+
     /// Lets the entry vanish, with what it knows. Its runs go on, and their results reach nobody.
     void killEntry(std::size_t entry);
 
@@ -77,10 +83,14 @@
         std::string task;
         std::string queue;
         steady_time startedAt;
+        bool hasBegun = true;
+        start_evidence evidence = start_evidence::confirmed;
     };
     struct agent_state {
         std::string name;
         bool isUp = true;
+        /// The worker is down, and the agent knows it.
+        bool isKnownDown = false;
         std::uint64_t instance = 1;
         std::vector<active_run> runs;
         /// Latest order and number of results, by entry.
@@ -91,7 +101,9 @@
     void receive(std::size_t from, agent_state &agent, const message &value);
     void start(std::size_t from, agent_state &agent, const std::string &worker, const run_order &order);
     void endRun(agent_state &agent, std::size_t from, std::uint64_t sequence, run_outcome outcome);
-    void crash(agent_state &agent);
+    /// Crashes the worker, and lets its agent notice after the delay.
+    void crash(agent_state &agent, milliseconds noticeDelay = milliseconds(0));
+    void noticeCrash(agent_state &agent);
     void sendResult(agent_state &agent, std::size_t to, std::uint64_t sequence, run_outcome outcome);
     void sendStatus(agent_state &agent);
     void tick();
--- a/src/dispatch/tests/crash_ledger_test.cpp
+++ b/src/dispatch/tests/crash_ledger_test.cpp
@@ -24,11 +24,11 @@
     {
     }
 
-    crash_findings crash(const std::vector<std::string> &tasks, std::uint32_t age = SOON)
+    crash_findings crash(const std::vector<std::string> &tasks, std::uint32_t age = SOON, start_evidence start = start_evidence::confirmed)
     {
         crash_report report{"crash" + std::to_string(++crashes), 0, {}};
         for (const std::string &task : tasks) {
-            report.runs.push_back({task, "queue", age});
+            report.runs.push_back({task, "queue", age, start});
         }
         return ledger.record("agent", report);
     }
@@ -53,7 +53,7 @@
 TEST_CASE("a repeated report of a crash changes nothing")
 {
     ledger_fixture test;
-    const crash_report report{"crash", 0, {{"job.0.0.0", "queue", SOON}}};
+    const crash_report report{"crash", 0, {{"job.0.0.0", "queue", SOON, start_evidence::confirmed}}};
     CHECK(test.ledger.record("agent", report).isNew);
     for (int repeat = 0; repeat < 5; ++repeat) {
         test.time.run(milliseconds(500));
@@ -78,9 +78,9 @@
 /// Guards against evidence that depends on the order in which reports arrive from different agents.
 TEST_CASE("the rounds are the same in whichever order the reports arrive")
 {
-    const std::vector<crash_report> reports{{"first", 900, {{"job.0.0.0", "queue", SOON}}},
-                                            {"second", 500, {{"job.0.0.0", "queue", SOON}}},
-                                            {"third", 100, {{"job.0.0.1", "queue", SOON}}}};
+    const std::vector<crash_report> reports{{"first", 900, {{"job.0.0.0", "queue", SOON, start_evidence::confirmed}}},
+                                            {"second", 500, {{"job.0.0.0", "queue", SOON, start_evidence::confirmed}}},
+                                            {"third", 100, {{"job.0.0.1", "queue", SOON, start_evidence::confirmed}}}};
     std::vector<std::size_t> order{0, 1, 2};
     do {
         ledger_fixture test;
@@ -184,6 +184,19 @@
     CHECK(test.ledger.verdictOf("wide") == crash_verdict::given_up);
 }
 
+/// Guards against a sound job that is shown as failed for workers that had crashed before its orders reached them, however old these orders
+/// were when the crash was noticed.
+TEST_CASE("orders that no worker has confirmed count as no crash under their task")
+{
+    ledger_fixture test;
+    test.crash({"sound.0.0.0"}, LATE);
+    for (const std::uint32_t age : {1U, 0U, 10U, 40U, 3U}) {
+        test.time.run(milliseconds(4));
+        test.crash({"sound.0.0.0"}, age, start_evidence::none);
+        CHECK(test.ledger.verdictOf("sound") != crash_verdict::given_up);
+    }
+}
+
 /// Guards against memory that grows with the crashes, and against evidence that is dropped where it matters most.
 TEST_CASE("a ledger keeps a bounded number of jobs, those with the most evidence longest")
 {
@@ -215,5 +228,5 @@
     test.time.run(seconds(1));
     test.ledger.forgetOld();
     CHECK(test.ledger.isEmpty());
-    CHECK_FALSE(test.ledger.record("agent", {"old", 30'000, {{"two.0.0.0", "queue", SOON}}}).isNew);
+    CHECK_FALSE(test.ledger.record("agent", {"old", 30'000, {{"two.0.0.0", "queue", SOON, start_evidence::confirmed}}}).isNew);
 }
--- a/src/dispatch/tests/crash_test.cpp
+++ b/src/dispatch/tests/crash_test.cpp
@@ -86,6 +86,27 @@
     CHECK(fleet.answerOf("wide")->kind == answer_kind::completed);
 }
 
+/// Guards against sound jobs that are shown as failed a few milliseconds after one lost run, because the crashes of several workers at one
+/// moment are noticed one after the other, and orders to the ones that are not noticed yet count as crashes under their task.
+TEST_CASE("workers that crash at one moment and are noticed one after the other give no job up")
+{
+    for (const milliseconds interval : {milliseconds(2), milliseconds(4), milliseconds(7)}) {
+        CAPTURE(interval.count());
+        crash_fleet fleet(2, 12);
+        for (std::size_t job = 0; job < 24; ++job) {
+            fleet.submit(job % 2, "sound" + std::to_string(job), {milliseconds(900), milliseconds(0)}, 2);
+        }
+        fleet.run(milliseconds(500));
+        fleet.crashWorkers(8, interval);
+        fleet.run(seconds(10));
+        for (std::size_t job = 0; job < 24; ++job) {
+            const std::optional<job_answer> answer = fleet.answerOf("sound" + std::to_string(job));
+            REQUIRE(answer);
+            CHECK(answer->kind == answer_kind::completed);
+        }
+    }
+}
+
 /// Guards against jobs that fail because worker after worker crashes without any job to blame.
 TEST_CASE("jobs are done though workers crash by themselves again and again")
 {
