A job is given up only for crashes under runs that are known to have begun

Cause: an order counted as a run. Agents report all runs that they have passed on, and isToBlame() gave a job up at three crashes of any kind under one task. Agents notice crashes of one moment up to 10 ms apart; the entry ordered the lost task to two more workers that were gone. The three were rounds, too, since a round's time is that of noticing.

Now a run has begun if its worker confirmed it, or had answered a request that was sent after the order had arrived, right before the start was sent. Orders of a job that has lost runs are held by the agent for that answer, so that one to a dead worker is never started and never charged. A job is given up only if two workers have crashed under begun runs of one task; a third crash that may have hit the task then suffices, so that no fourth worker is risked, also for a task that crashes its workers before they can confirm it.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -23,20 +23,24 @@
 
 void crash_evidence::addCrash(const std::vector<lost_run> &runs, bool isSoon, bool isAlone)
 {
-    const lost_run &latest = *std::ranges::max_element(runs, {}, &lost_run::orderedAt);
-    addInterval({latest.orderedAt, latest.lostAt});
-    m_areAllSoon = m_areAllSoon && isSoon;
-    m_wasAlone = m_wasAlone || isAlone;
-    m_lastCrashAt = std::max(m_lastCrashAt, latest.lostAt);
+    const lost_run *latestBegun = nullptr;
     for (const lost_run &run : runs) {
+        m_lastCrashAt = std::max(m_lastCrashAt, run.lostAt);
+        if (run.hadBegun && (latestBegun == nullptr || run.orderedAt > latestBegun->orderedAt)) {
+            latestBegun = &run;
+        }
         const std::uint64_t task = XXH3_64bits(run.task.data(), run.task.size());
         if (m_crashesByTask.size() < MAX_TASKS || m_crashesByTask.contains(task)) {
             task_crashes &crashes = m_crashesByTask[task];
-            m_mostCrashes.all = std::max(m_mostCrashes.all, ++crashes.all);
+            ++crashes.possible;
             crashes.begun += run.hadBegun ? 1 : 0;
-            m_mostCrashes.begun = std::max(m_mostCrashes.begun, crashes.begun);
         }
     }
+    if (latestBegun != nullptr) {
+        addInterval({latestBegun->orderedAt, latestBegun->lostAt});
+        m_areAllSoon = m_areAllSoon && isSoon;
+        m_wasAlone = m_wasAlone || isAlone;
+    }
 }
 
 std::size_t crash_evidence::rounds() const
@@ -52,19 +56,29 @@
     return result;
 }
 
-std::size_t crash_evidence::crashesUnderOneTask() const
+std::size_t crash_evidence::begunCrashesUnderOneTask() const
 {
-    return m_mostCrashes.all;
+    std::size_t most = 0;
+    for (const auto &[task, crashes] : m_crashesByTask) {
+        most = std::max(most, crashes.begun);
+    }
+    return most;
 }
 
-std::size_t crash_evidence::begunCrashesUnderOneTask() const
+std::size_t crash_evidence::possibleCrashesUnderOneTask(std::size_t minBegunCrashes) const
 {
-    return m_mostCrashes.begun;
+    std::size_t most = 0;
+    for (const auto &[task, crashes] : m_crashesByTask) {
+        if (crashes.begun >= minBegunCrashes) {
+            most = std::max(most, crashes.possible);
+        }
+    }
+    return most;
 }
 
 bool crash_evidence::areAllSoon() const
 {
-    return m_areAllSoon;
+    return !m_intervals.empty() && m_areAllSoon;
 }
 
 bool crash_evidence::wasAlone() const
--- a/src/dispatch/crash_evidence.h
+++ b/src/dispatch/crash_evidence.h
@@ -12,13 +12,13 @@
 namespace azuremoor
 {
 
-/// A run that began before a crash of its worker and was lost with it.
+/// A run that was ordered to a worker before its crash was noticed, and was lost with it.
 struct lost_run {
     std::string_view task;
     steady_time orderedAt;
     /// When the crash was noticed.
     steady_time lostAt;
-    /// Whether the run was ordered so long before that it had certainly begun.
+    /// Whether the run is known to have begun. Otherwise the worker may have crashed before the order reached it.
     bool hadBegun = true;
 };
 
@@ -26,14 +26,16 @@
  * What the crashes of workers say of one job.
  *
  * Crashes are counted in rounds. Workers that crash while tasks of the job run on all of them are one round: whatever the tasks do, no
- * start could have been withheld. A further round needs a run that was ordered after a crash of the round before had been noticed.
+ * start could have been withheld. A further round needs a run that was ordered after a crash of the round before had been noticed, and is
+ * known to have begun: workers that crash at one moment are noticed one after the other, and orders go to those not noticed yet.
  */
 class crash_evidence
 {
 public:
     explicit crash_evidence(std::string_view queue);
 
-    /// Adds the job's runs that were lost in one crash. There must be at least one. Crashes may be added in any order, each one once.
+    /// Adds the job's runs that were lost in one crash. There must be at least one. Crashes may be added in any order, each one once. If
+    /// no run is known to have begun, the crash only counts as a possible one under its tasks.
     /// The crash is soon if it came so soon after the start of a run of the job that this run may be the cause, since tasks that crash
     /// workers do so soon after their start. The job is alone in it if that is so of no other job.
     void addCrash(const std::vector<lost_run> &runs, bool isSoon, bool isAlone);
@@ -41,13 +43,14 @@
     /// Returns the largest number of crashes of which each hit a run that was ordered after the one before.
     std::size_t rounds() const;
 
-    /// Returns the largest number of crashes that hit runs of the same task.
-    std::size_t crashesUnderOneTask() const;
-
-    /// Returns the largest number of crashes that hit runs of the same task which had certainly begun.
+    /// Returns the largest number of crashes that hit runs of the same task which are known to have begun.
     std::size_t begunCrashesUnderOneTask() const;
 
-    /// Returns whether all crashes were soon.
+    /// Returns the largest number of crashes that may have hit runs of the same task, of the tasks of which so many are known to have
+    /// begun.
+    std::size_t possibleCrashesUnderOneTask(std::size_t minBegunCrashes) const;
+
+    /// Returns whether there was a crash under a run that is known to have begun, and all of these were soon.
     bool areAllSoon() const;
 
     /// Returns whether the job was alone in at least one of the crashes.
@@ -70,13 +73,12 @@
     /// By the time of the crash. None contains another one, so that they are in the order of their beginnings too.
     std::vector<interval> m_intervals;
     struct task_crashes {
-        std::size_t all = 0;
+        std::size_t possible = 0;
         std::size_t begun = 0;
     };
 
-    /// Crashes by the hash of the task's name, and the largest numbers of them.
+    /// Crashes by the hash of the task's name.
     std::map<std::uint64_t, task_crashes> m_crashesByTask;
-    task_crashes m_mostCrashes;
     bool m_areAllSoon = true;
     bool m_wasAlone = false;
     steady_time m_lastCrashAt{};
--- a/src/dispatch/crash_guard.cpp
+++ b/src/dispatch/crash_guard.cpp
@@ -49,7 +49,9 @@
         }
     }
     for (const crashed_run &run : report.runs) {
-        m_containment.recordCrash(run.queue, findings.noticedAt);
+        if (hadBegun(run)) {
+            m_containment.recordCrash(run.queue, findings.noticedAt);
+        }
     }
     updateContainingAgents();
 }
@@ -101,6 +103,11 @@
     return job_answer{answer_kind::failed, "a task crashed " + crashes + " workers that started it, one after the other", {}};
 }
 
+bool crash_guard::mustAskWorkers(const active_job &job) const
+{
+    return m_ledger.isCharged(job.spec.id);
+}
+
 bool crash_guard::isSetApart(const active_job &job) const
 {
     const bool isContained = m_containingAgents.contains(job.matchedRoute.service) && m_containment.isContained(job.matchedRoute.name);
--- a/src/dispatch/crash_guard.h
+++ b/src/dispatch/crash_guard.h
@@ -42,6 +42,10 @@
     /// Returns the answer for a job that is given up, or nothing.
     std::optional<job_answer> checkGivenUp(const active_job &job) const;
 
+    /// Returns whether the job's orders are to ask the worker first, because workers have crashed to which its tasks had been ordered:
+    /// others may have crashed at the same moment without anybody knowing yet.
+    bool mustAskWorkers(const active_job &job) const;
+
     /// Returns whether the job is suspect or given up, or one of a contained queue.
     bool isSetApart(const active_job &job) const;
 
--- a/src/dispatch/crash_ledger.cpp
+++ b/src/dispatch/crash_ledger.cpp
@@ -14,18 +14,15 @@
 /// Rounds after which a job is given up if nothing else explains the crashes.
 constexpr std::size_t SUFFICIENT_CRASH_ROUNDS = 2;
 
-/// Crashes under begun runs of one task without which its job is not given up early, whatever happened to the others.
+/// Crashes under begun runs of one task without which its job is not given up, whatever happened to the others.
 constexpr std::size_t MIN_CRASHES_UNDER_ONE_TASK = 2;
 
 bool isToBlame(const crash_evidence &evidence)
 {
-    if (evidence.crashesUnderOneTask() >= MAX_CRASH_ROUNDS) {
-        return true;
-    }
     if (evidence.begunCrashesUnderOneTask() < MIN_CRASHES_UNDER_ONE_TASK) {
         return false;
     }
-    return evidence.rounds() >= MAX_CRASH_ROUNDS
+    return evidence.possibleCrashesUnderOneTask(MIN_CRASHES_UNDER_ONE_TASK) >= MAX_CRASH_ROUNDS || evidence.rounds() >= MAX_CRASH_ROUNDS
         || (evidence.rounds() >= SUFFICIENT_CRASH_ROUNDS && evidence.areAllSoon() && evidence.wasAlone());
 }
 
@@ -67,13 +64,12 @@
     for (const crashed_run &run : report.runs) {
         const std::string_view job = jobOfTask(run.task);
         const milliseconds age(run.ageMilliseconds);
-        runsByJob[job].push_back({run.task, findings.noticedAt - age, findings.noticedAt, age >= m_limits.startTime});
+        runsByJob[job].push_back({run.task, findings.noticedAt - age, findings.noticedAt, hadBegun(run)});
         queues[job] = run.queue;
     }
     std::set<std::string_view> soonJobs;
     for (const crashed_run &run : report.runs) {
-        const milliseconds age(run.ageMilliseconds);
-        if (age >= m_limits.startTime && age <= m_limits.soonCrashTime) {
+        if (hadBegun(run) && milliseconds(run.ageMilliseconds) <= m_limits.soonCrashTime) {
             soonJobs.insert(jobOfTask(run.task));
         }
     }
@@ -105,6 +101,11 @@
     return found == m_jobs.end() ? crash_verdict::sound : found->second.verdict();
 }
 
+bool crash_ledger::isCharged(std::string_view job) const
+{
+    return m_jobs.contains(job);
+}
+
 std::size_t crash_ledger::roundsOf(std::string_view job) const
 {
     const auto found = m_jobs.find(job);
@@ -114,7 +115,7 @@
 std::size_t crash_ledger::successiveCrashesOf(std::string_view job) const
 {
     const auto found = m_jobs.find(job);
-    return found == m_jobs.end() ? 0 : std::max(found->second.evidence.rounds(), found->second.evidence.crashesUnderOneTask());
+    return found == m_jobs.end() ? 0 : std::max(found->second.evidence.rounds(), found->second.evidence.begunCrashesUnderOneTask());
 }
 
 void crash_ledger::clear(std::string_view job)
@@ -193,7 +194,8 @@
                     {"queue", charged.evidence.queue()},
                     {"crash", crash},
                     {"rounds", std::to_string(charged.evidence.rounds())},
-                    {"crashes_under_one_task", std::to_string(charged.evidence.crashesUnderOneTask())},
+                    {"begun_crashes_under_one_task", std::to_string(charged.evidence.begunCrashesUnderOneTask())},
+                    {"possible_crashes_under_one_task", std::to_string(charged.evidence.possibleCrashesUnderOneTask(0))},
                     {"all_soon", charged.evidence.areAllSoon() ? "yes" : "no"},
                     {"was_alone", charged.evidence.wasAlone() ? "yes" : "no"}});
 }
--- a/src/dispatch/crash_ledger.h
+++ b/src/dispatch/crash_ledger.h
@@ -29,15 +29,13 @@
 struct crash_ledger_limits {
     /// Time from the order until the crash within which a run may be the cause.
     microseconds soonCrashTime = milliseconds(100);
-    /// Time from the order within which the run may not have begun.
-    microseconds startTime = milliseconds(5);
     /// Time from the last crash after which a job's evidence is forgotten.
     microseconds memory = seconds(30);
     std::size_t jobs = 4096;
     std::size_t crashes = 1024;
 };
 
-/// Rounds of crashes, and crashes under one task, after which a job is given up whatever else ran on the workers.
+/// Rounds of crashes, and possible crashes under one task, after which a job is given up whatever else ran on the workers.
 constexpr std::size_t MAX_CRASH_ROUNDS = 3;
 
 /// What is new in a report of a crash.
@@ -61,6 +59,9 @@
  * Tasks of one job count together, and so do copies of it at other entries, since agents report a crash to all entries. Whatever ran on a
  * crashed worker is charged with the crash; most of it is innocent. A job is given up after three rounds, and after two if each crash came
  * soon after the start of one of its tasks and in one of them no other run was as young. What ran longer is run again like any lost run.
+ *
+ * No job is given up unless two workers have crashed under runs of one of its tasks that are known to have begun. A run whose worker did
+ * not confirm it may have crashed its worker at once, or may have been ordered to one that was gone: the next ones ask their worker first.
  */
 class crash_ledger
 {
@@ -81,10 +82,13 @@
 
     crash_verdict verdictOf(std::string_view job) const;
 
+    /// Returns whether workers have crashed to which tasks of the job had been ordered.
+    bool isCharged(std::string_view job) const;
+
     /// Returns the rounds of crashes that the job is charged with.
     std::size_t roundsOf(std::string_view job) const;
 
-    /// Returns the number of workers that have crashed one after the other under tasks of the job.
+    /// Returns the number of workers that are known to have crashed one after the other under tasks of the job.
     std::size_t successiveCrashesOf(std::string_view job) const;
 
     /// Forgets the evidence against a job, because all of its tasks have ended well.
--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -652,6 +652,7 @@
             return false;
         }
         run_order order{0, job.taskName(index), task.runNumber + 1, job.spec.payload, step.shape, 0, job.origin, job.matchedRoute.name};
+        order.isWorkerAskedFirst = m_crashGuard != nullptr && m_crashGuard->mustAskWorkers(job);
         if (!m_link.takeOrder(m_pool.collectedOrders(worker->agent), order, !hasOrdered)) {
             m_isLinkFull = true;
             return false;
--- a/src/dispatch/link_budget.cpp
+++ b/src/dispatch/link_budget.cpp
@@ -41,7 +41,7 @@
 constexpr std::size_t BATCH_BYTES = 24;
 
 /// Bytes of an order without its task's name and payload, and those of a payload's length.
-constexpr std::size_t ORDER_BYTES = 29;
+constexpr std::size_t ORDER_BYTES = 30;
 constexpr std::size_t LENGTH_BYTES = 4;
 
 /// Usual length of a task's name: a job's name of 16 digits and three short numbers.
--- a/src/dispatch/tests/crash_test.cpp
+++ b/src/dispatch/tests/crash_test.cpp
@@ -107,6 +107,45 @@
     }
 }
 
+/// Guards against a task that takes one worker after the other because each crashes before it can confirm the start, so that no run of the
+/// task is known to have begun.
+TEST_CASE("a task that crashes its workers before they can confirm it is given up after at most three of them")
+{
+    crash_fleet fleet(2, 11);
+    fleet.submit(0, "deadly", {milliseconds(100), milliseconds(1), false});
+    fleet.run(milliseconds(4));
+    REQUIRE(fleet.crashesUnder("deadly") >= 1);
+    SUBCASE("at one entry")
+    {
+    }
+    SUBCASE("at the entry to which its caller comes back")
+    {
+        fleet.killEntry(0);
+        fleet.submit(1, "deadly", {milliseconds(100), milliseconds(1), false});
+    }
+    fleet.run(seconds(5));
+    CHECK(fleet.startsOverBudget().empty());
+    CHECK(fleet.crashesUnder("deadly") <= 3);
+    REQUIRE(fleet.answerOf("deadly"));
+    CHECK(fleet.answerOf("deadly")->kind == answer_kind::failed);
+}
+
+/// Guards against a sound queue that is kept to few workers because its jobs are taken for ones that crash workers.
+TEST_CASE("workers that crash at one moment contain no queue")
+{
+    crash_fleet fleet(2, 12);
+    for (std::size_t job = 0; job < 24; ++job) {
+        fleet.submit(job % 2, "sound" + std::to_string(job), {milliseconds(900), milliseconds(0)}, 2);
+    }
+    fleet.run(milliseconds(500));
+    fleet.crashWorkers(8, milliseconds(4));
+    fleet.run(seconds(4));
+    for (const journal_entry &entry : fleet.journal.entries()) {
+        CHECK(entry.event != "job_given_up");
+        CHECK(entry.event != "queue_contained");
+    }
+}
+
 /// Guards against jobs that fail because worker after worker crashes without any job to blame.
 TEST_CASE("jobs are done though workers crash by themselves again and again")
 {
--- a/src/messages/crash_messages.h
+++ b/src/messages/crash_messages.h
@@ -19,6 +19,8 @@
     none = 0,
     /// The worker confirmed the start, or listed the run.
     confirmed = 1,
+    /// The worker answered a request that was sent after the order had arrived, and then the start was sent; it was not answered.
+    asked = 2,
 };
 
 /// A run that was ordered to a worker before its crash was noticed.
@@ -37,10 +39,16 @@
         archiveText(archive, task);
         archiveText(archive, queue);
         archive(ageMilliseconds);
-        archiveEnumeration(archive, start, start_evidence::confirmed);
+        archiveEnumeration(archive, start, start_evidence::asked);
     }
 };
 
+/// Returns whether the run is known to have begun before its worker crashed.
+inline bool hadBegun(const crashed_run &run)
+{
+    return run.start != start_evidence::none;
+}
+
 /// Crash of the worker of an agent, with the runs that were lost with it. The agent sends it to its entries before the results of these
 /// runs, and again to each entry that connects while it remembers the crash.
 struct crash_report {
--- a/src/messages/run_messages.h
+++ b/src/messages/run_messages.h
@@ -79,6 +79,8 @@
     std::string origin{};
     /// Queue of the task's job. The message that carries the order writes it.
     std::string queue{};
+    /// The start is sent to the worker only after it has answered another request, which shows that it is up.
+    bool isWorkerAskedFirst = false;
 
     template<typename Archive>
     void serialize(Archive &archive)
@@ -86,6 +88,7 @@
         archive(sequence);
         archiveText(archive, task);
         archive(number, shape, estimate);
+        archiveBool(archive, isWorkerAskedFirst);
     }
 };
 
--- a/src/runs/run_agent.cpp
+++ b/src/runs/run_agent.cpp
@@ -302,6 +302,7 @@
             startRun(sessionName, orders.worker, order);
         }
     }
+    m_supervisor.askForHeldStarts();
 }
 
 void run_agent::startRun(const std::string &sessionName, const std::string &workerInstance, const run_order &order)
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -31,7 +31,8 @@
 crashed_run toCrashedRun(const run_key &key, const supervised_run &run, steady_time now)
 {
     const auto age = std::chrono::duration_cast<milliseconds>(now - run.startedAt);
-    const start_evidence start = run.isStartConfirmed ? start_evidence::confirmed : start_evidence::none;
+    const start_evidence unconfirmed = run.wasWorkerAsked ? start_evidence::asked : start_evidence::none;
+    const start_evidence start = run.isStartConfirmed ? start_evidence::confirmed : unconfirmed;
     return {key.task, run.queue, static_cast<std::uint32_t>(age.count()), start};
 }
 
@@ -146,9 +147,24 @@
     run.resources = order.shape;
     run.estimate = microseconds(order.estimate);
     run.startedAt = m_time.steadyNow();
+    run.wasWorkerAsked = order.isWorkerAskedFirst;
+    supervised_run &added = m_table.runs().emplace(key, run).first->second;
+    if (order.isWorkerAskedFirst) {
+        added.state = run_state::held;
+        m_heldStarts.add(order);
+    } else {
+        sendStart(order, added);
+    }
+}
+
+void run_supervisor::sendStart(const run_order &order, supervised_run &run)
+{
+    run.state = run_state::ordered;
+    run.isStartSent = true;
+    run.startedAt = m_time.steadyNow();
     run.startDeadline = m_worker->clock.now() + m_leases.workerLease.count();
     m_worker->clock.extendLease(run.startDeadline);
-    m_table.runs().emplace(key, run);
+    const run_key key{order.task, order.number};
     const std::uint64_t registration = m_worker->registration;
     m_client.startRun(
         m_worker->context(), order, run.startDeadline, [this, registration, key](worker_reply reply, worker_milliseconds clock) {
@@ -156,6 +172,41 @@
         });
 }
 
+void run_supervisor::askForHeldStarts()
+{
+    if (m_worker != nullptr && m_heldStarts.needRequest()) {
+        renew(milliseconds(0));
+        m_heldStarts.recordRequest(m_worker->lastRenewalNumber);
+    }
+}
+
+void run_supervisor::decideHeldStarts(std::uint64_t renewalNumber, bool hasAnswered)
+{
+    const bool canStart = hasAnswered && !m_isClosed && isReady() && !isDraining();
+    for (const run_order &order : m_heldStarts.takeRequested(renewalNumber)) {
+        const auto found = m_table.runs().find({order.task, order.number});
+        if (found == m_table.runs().end() || found->second.state != run_state::held) {
+            continue;
+        }
+        if (canStart) {
+            sendStart(order, found->second);
+        } else {
+            endRun(found, run_outcome::closed);
+        }
+    }
+}
+
+void run_supervisor::dropHeldStarts()
+{
+    m_heldStarts.clear();
+    for (auto run = m_table.runs().begin(); run != m_table.runs().end();) {
+        const auto current = run++;
+        if (!current->second.isStartSent) {
+            endRun(current, run_outcome::closed);
+        }
+    }
+}
+
 void run_supervisor::stop(const std::string &session, std::uint64_t sequence)
 {
     for (auto &[key, run] : m_table.runs()) {
@@ -297,6 +348,7 @@
 
 void run_supervisor::discardEndedWorker()
 {
+    dropHeldStarts();
     if (hasCrashed() && !m_table.runs().empty()) {
         std::vector<crashed_run> lost;
         for (const auto &[key, run] : m_table.runs()) {
@@ -315,6 +367,7 @@
                     {"runs", std::to_string(m_table.runs().size())},
                     {"last_answer_ms", millisecondsBetween(m_worker->lastAnswer, m_time.steadyNow())}});
     const std::optional<worker_report> successor = m_contenders.takeSuccessor(m_worker->report.identity());
+    dropHeldStarts();
     m_worker.reset();
     while (!m_table.runs().empty()) {
         endRun(m_table.runs().begin(), outcome);
@@ -327,6 +380,7 @@
 void run_supervisor::followReboot(const lease_response &response)
 {
     const worker_report former = m_worker->report;
+    dropHeldStarts();
     m_journal.note("worker_rebooted",
                    {{"worker", former.workerInstance},
                     {"boot", std::to_string(response.boot)},
@@ -511,6 +565,7 @@
             // There is one agent process at a time, so a late call of an earlier one, to a former boot, has brought the higher token.
             m_worker->raiseFencingToken();
         }
+        decideHeldStarts(renewalNumber, false);
         if (!m_worker->hasLease && m_table.runs().empty()) {
             giveWay();
         }
@@ -531,6 +586,7 @@
         m_journal.note("worker_held", {{"worker", workerInstance}});
         renew(milliseconds(0));
     }
+    decideHeldStarts(renewalNumber, true);
     tick();
 }
 
@@ -623,6 +679,7 @@
         return;
     }
     m_worker->hasLease = false;
+    dropHeldStarts();
     m_journal.note("lease_lapsed", {{"worker", m_worker->report.workerInstance}, {"runs", std::to_string(m_table.runs().size())}});
     while (!m_table.runs().empty()) {
         endRun(m_table.runs().begin(), run_outcome::lapsed);
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -12,6 +12,7 @@
 #include "base/decision_journal.h"
 #include "runs/capacity_forecast.h"
 #include "runs/contender_tracker.h"
+#include "runs/held_starts.h"
 #include "runs/run_table.h"
 #include "runs/tracked_worker.h"
 #include "runs/worker_crash_listener.h"
@@ -81,9 +82,13 @@
     /// more runs unless it reports again, and those that it has go on until it is known that they have ended.
     void handleDeparture(const std::string &workerInstance);
 
-    /// Starts a run for a session on the given worker instance. Reports the result immediately if the run cannot begin.
+    /// Starts a run for a session on the given worker instance. Reports the result immediately if the run cannot begin. If the order says
+    /// so, the start is held until the worker has answered.
     void start(const std::string &session, const std::string &workerInstance, const run_order &order);
 
+    /// Asks the worker for an answer if starts are held for one. Must be called after orders.
+    void askForHeldStarts();
+
     /// Stops a run of a session. Ignores unknown sequences.
     void stop(const std::string &session, std::uint64_t sequence);
 
@@ -141,6 +146,11 @@
     void discardWorker(run_outcome outcome, const std::string &reason);
     /// Returns whether the registration is that of the current worker.
     bool isCurrent(std::uint64_t registration) const;
+    void sendStart(const run_order &order, supervised_run &run);
+    /// Sends the starts that waited for the renewal, whose answer has arrived, or ends their runs if there was none.
+    void decideHeldStarts(std::uint64_t renewalNumber, bool hasAnswered);
+    /// Ends the runs whose start was not sent.
+    void dropHeldStarts();
     void handleStartReply(std::uint64_t registration, const run_key &key, worker_reply reply, worker_milliseconds clock);
     void handleStopReply(std::uint64_t registration, const run_key &key, worker_reply reply);
     void sendStop(const run_key &key, supervised_run &run);
@@ -175,6 +185,7 @@
     /// Number of the last registration of a worker. An instance that was given up can be registered again.
     std::uint64_t m_lastRegistration = 0;
     run_table m_table;
+    held_starts m_heldStarts;
     capacity_forecast m_forecast;
     bool m_isClosed = false;
 };
--- a/src/runs/run_table.h
+++ b/src/runs/run_table.h
@@ -16,6 +16,8 @@
 
 /// What a run was last asked to do, and whether the worker has accepted it.
 enum class run_state : std::uint8_t {
+    /// The start waits until the worker has answered another request.
+    held,
     ordered,
     running,
     stopping,
@@ -35,8 +37,11 @@
     worker_milliseconds startDeadline = 0;
     /// The worker confirmed a stop, so the run cannot begin any more.
     bool isStopConfirmed = false;
+    bool isStartSent = false;
     /// The worker confirmed the start, or listed the run.
     bool isStartConfirmed = false;
+    /// The start was held until the worker had answered.
+    bool wasWorkerAsked = false;
     /// Number of the first renewal whose answer is certain to list the run if it is in progress; 0 while unknown.
     std::uint64_t firstConclusiveRenewal = 0;
     steady_time nextStopAttempt;
