The end of a lease is no sign that a worker fell silent under a task

What callers would see: a sound job shown as failed (rule LOST) after four of its runs had ended with a lease, though no worker had fallen silent under them.

An agent that is up and loses a confirmed run to a silent worker now says so (worker_silent), and only that counts, four times as before.

Evidence: dispatch-test 'a job is not given up because agents fall silent, or because leases end on workers that answer' failed on at the fourth run; 'a job is given up when four workers have fallen silent' keeps the bound that no test had.

--- a/src/dispatch/active_job.h
+++ b/src/dispatch/active_job.h
@@ -40,8 +40,8 @@
     std::uint32_t runNumber = 0;
     /// Runs that failed or that the worker rejected as unreadable. They count towards the route's maximum of attempts.
     std::uint32_t failedRuns = 0;
-    /// Runs that ended with a lease.
-    std::uint32_t lapsedRuns = 0;
+    /// Runs whose worker fell silent after it had confirmed their start.
+    std::uint32_t silentWorkers = 0;
     /// Runs that were to be stopped because they were stalled, or because their worker was much slower than the others.
     std::uint32_t movedRuns = 0;
     /// Runs that were stopped for a job of a higher priority.
--- a/src/dispatch/job_dispatcher.cpp
+++ b/src/dispatch/job_dispatcher.cpp
@@ -19,8 +19,8 @@
 /// was submitted earlier, assigned it.
 constexpr std::uint32_t RUN_NUMBER_SKIP = 100;
 
-/// Runs of one task that may end with a lease before its job is given up: a worker that falls silent under a task is reported by nobody.
-constexpr std::uint32_t MAX_LAPSED_RUNS = 4;
+/// Workers that may fall silent under a task before its job is given up: such a worker may have crashed, and no crash is reported.
+constexpr std::uint32_t MAX_SILENT_WORKERS = 4;
 
 /// Interval of the checks of waiting jobs while a data centre is evacuated. Their order may come back from there at any time.
 constexpr microseconds EVACUATION_CHECK_INTERVAL = milliseconds(100);
@@ -311,8 +311,9 @@
         endJob(job, *answer);
         return;
     }
-    if (outcome == run_outcome::lapsed && ++task.lapsedRuns >= MAX_LAPSED_RUNS) {
-        endJob(job, {answer_kind::failed, std::to_string(task.lapsedRuns) + " workers fell silent under a task, one after the other", {}});
+    if (outcome == run_outcome::worker_silent && ++task.silentWorkers >= MAX_SILENT_WORKERS) {
+        endJob(job,
+               {answer_kind::failed, std::to_string(task.silentWorkers) + " workers fell silent under a task, one after the other", {}});
         return;
     }
     if (hasBegun(outcome)) {
--- a/src/dispatch/tests/job_dispatcher_test.cpp
+++ b/src/dispatch/tests/job_dispatcher_test.cpp
@@ -270,6 +270,56 @@
     CHECK(test.orderedRuns[1].first == "two");
 }
 
+/// Guards against a sound job that is shown as failed because agents were paused or cut off, or paused so long that the leases of their
+/// workers ended: neither says anything of the worker under a task.
+TEST_CASE("a job is not given up because agents fall silent, or because leases end on workers that answer")
+{
+    for (const bool areAgentsSilent : {false, true}) {
+        CAPTURE(areAgentsSilent);
+        dispatcher_fixture test;
+        test.addWorker("one");
+        test.addWorker("two");
+        step_spec step;
+        step.shape = {1000, 64, 0};
+        step.estimate = milliseconds(100);
+        job_spec spec;
+        spec.id = "job";
+        spec.steps = {step};
+        test.dispatcher.submit(1, spec, test.jobRoute, test.time.steadyNow(), test.time.steadyNow() + seconds(60));
+        test.dispatcher.placeWaitingTasks();
+        for (std::size_t run = 1; run <= 6; ++run) {
+            REQUIRE(test.orderedRuns.size() == run);
+            if (areAgentsSilent) {
+                test.time.run(agent_timeouts().runsEndedAfter);
+                test.pool.recordHeartbeat(test.orderedRuns.back().first == "one" ? "two" : "one", {});
+                test.pool.tick();
+            } else {
+                test.reportRunEnd(run - 1, run_outcome::lapsed);
+            }
+            test.heartbeat();
+            test.dispatcher.placeWaitingTasks();
+        }
+        CHECK(test.answers.empty());
+    }
+}
+
+/// Guards against a task that takes one worker after the other because a worker that falls silent under it is reported by nobody.
+TEST_CASE("a job is given up when four workers have fallen silent under runs of one task")
+{
+    dispatcher_fixture test;
+    test.addWorker("one");
+    test.addWorker("two");
+    test.submit(1, "job");
+    for (std::size_t run = 1; run <= 4; ++run) {
+        CHECK(test.answers.empty());
+        REQUIRE(test.orderedRuns.size() == run);
+        test.reportRunEnd(run - 1, run_outcome::worker_silent);
+    }
+    REQUIRE(test.answers.contains(1));
+    CHECK(test.answers[1].kind == answer_kind::failed);
+    CHECK(test.orderedRuns.size() == 4);
+}
+
 TEST_CASE("runs of an agent's earlier process have ended once its new process reports that it is ready")
 {
     dispatcher_fixture test;
--- a/src/messages/run_messages.h
+++ b/src/messages/run_messages.h
@@ -15,7 +15,7 @@
     failed = 1,
     /// Stopped on request of the entry.
     stopped = 2,
-    /// Stopped because a lease expired.
+    /// Stopped because a lease expired. Says nothing of the worker: the agent or the entry may have fallen silent.
     lapsed = 3,
     /// Ended because its worker was lost.
     worker_lost = 4,
@@ -27,19 +27,21 @@
     stale_number = 7,
     /// Never started: the worker could not parse the order.
     rejected = 8,
+    /// Stopped because the worker's lease expired: the worker fell silent after it had confirmed the start.
+    worker_silent = 9,
 };
 
-/// Returns whether a run with this outcome was started.
+/// Returns whether a run with this outcome was started, or may have been.
 constexpr bool hasBegun(run_outcome outcome)
 {
-    return outcome <= run_outcome::worker_lost;
+    return outcome <= run_outcome::worker_lost || outcome == run_outcome::worker_silent;
 }
 
 /// Returns the name of the outcome as it appears in logs.
 constexpr std::string_view runOutcomeName(run_outcome outcome)
 {
     constexpr std::string_view NAMES[]
-        = {"done", "failed", "stopped", "lapsed", "worker_lost", "no_room", "closed", "stale_number", "rejected"};
+        = {"done", "failed", "stopped", "lapsed", "worker_lost", "no_room", "closed", "stale_number", "rejected", "worker_silent"};
     return NAMES[static_cast<std::size_t>(outcome)];
 }
 
@@ -168,7 +170,7 @@
     void serialize(Archive &archive)
     {
         archive(sequence);
-        archiveEnumeration(archive, outcome, run_outcome::rejected);
+        archiveEnumeration(archive, outcome, run_outcome::worker_silent);
     }
 };
 
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -682,7 +682,8 @@
     dropHeldStarts();
     m_journal.note("lease_lapsed", {{"worker", m_worker->report.workerInstance}, {"runs", std::to_string(m_table.runs().size())}});
     while (!m_table.runs().empty()) {
-        endRun(m_table.runs().begin(), run_outcome::lapsed);
+        const supervised_run &run = m_table.runs().begin()->second;
+        endRun(m_table.runs().begin(), run.state == run_state::running ? run_outcome::worker_silent : run_outcome::lapsed);
     }
     giveWay();
 }
