A newcomer on a narrow link is checked with the orders of its later steps

Cause: delaysWaitingJobs() counted the orders of a newcomer's first steps only. Those of its later steps go before the waiting jobs when they are released, and pushed jobs that had been promised room past their latest useful start.

They count now where they are expected to be released before the waiting job has to begin.

--- a/src/dispatch/link_admission.cpp
+++ b/src/dispatch/link_admission.cpp
@@ -63,17 +63,12 @@
     if (!isLimited()) {
         return;
     }
-    const double bytes = bytesOf(job, task_state::blocked);
-    if (bytes <= 0) {
+    const later_orders later = laterOrdersOf(job);
+    if (later.bytes > 0) {
+        m_laterOrders[job.number] = later;
+    } else {
         m_laterOrders.erase(job.number);
-        return;
     }
-    microseconds untilRelease{0};
-    for (const active_task &task : job.tasks) {
-        const bool isUnderWay = task.state == task_state::waiting || task.state == task_state::running;
-        untilRelease = isUnderWay ? std::max(untilRelease, job.spec.steps[task.step].estimate) : untilRelease;
-    }
-    m_laterOrders[job.number] = {m_time.steadyNow() + untilRelease, bytes};
 }
 
 void link_admission::forget(std::uint64_t jobNumber)
@@ -113,8 +108,9 @@
     if (!isLimited()) {
         return false;
     }
-    const double addedBytes = waitingBytesOf(job);
-    const double allBytes = laterBytesBefore(steady_time::max()) + waitingBytes() + addedBytes;
+    const double ownBytes = waitingBytesOf(job);
+    const later_orders ownLater = laterOrdersOf(job);
+    const double allBytes = laterBytesBefore(steady_time::max()) + waitingBytes() + ownBytes + ownLater.bytes;
     if (m_budget->delayOf(allBytes) <= microseconds(0)) {
         return false;
     }
@@ -128,6 +124,7 @@
         }
         const microseconds slack = waiting.lastUsefulStart() - now - LINK_BURST;
         const double bytesAhead = bytes + laterBytesBefore(waiting.lastUsefulStart());
+        const double addedBytes = ownBytes + (ownLater.expectedRelease <= waiting.lastUsefulStart() ? ownLater.bytes : 0);
         isAnyDelayed = m_budget->delayOf(bytesAhead) <= slack && m_budget->delayOf(bytesAhead + addedBytes) > maxExpectedWait(slack);
     });
     return isAnyDelayed;
@@ -151,6 +148,16 @@
     return m_budget->expectedBytes(job.spec.payload.size(), static_cast<std::size_t>(orders));
 }
 
+link_admission::later_orders link_admission::laterOrdersOf(const active_job &job) const
+{
+    microseconds untilRelease{0};
+    for (const active_task &task : job.tasks) {
+        const bool isUnderWay = task.state == task_state::waiting || task.state == task_state::running;
+        untilRelease = isUnderWay ? std::max(untilRelease, job.spec.steps[task.step].estimate) : untilRelease;
+    }
+    return {m_time.steadyNow() + untilRelease, bytesOf(job, task_state::blocked)};
+}
+
 double link_admission::laterBytesBefore(steady_time time) const
 {
     return std::accumulate(m_laterOrders.begin(), m_laterOrders.end(), 0.0, [time](double sum, const auto &each) {
--- a/src/dispatch/link_admission.h
+++ b/src/dispatch/link_admission.h
@@ -65,6 +65,8 @@
 
     /// Returns the expected bytes of the job's tasks in the state.
     double bytesOf(const active_job &job, task_state state) const;
+    /// Returns the orders of the job's steps that are not released yet, as if its first orders were sent now.
+    later_orders laterOrdersOf(const active_job &job) const;
     double laterBytesBefore(steady_time time) const;
     double waitingBytes() const;
     double waitingBytesOf(const active_job &job) const;
