Ledger: two rounds need the worker's word, a crash counts once under a task

- A worker can crash just after it has answered, before the start arrives.
Such a run (asked) counted like a confirmed one for the verdict after two rounds.
That verdict asks for two confirmed runs now; with one that is only asked, it takes the third crash.
A task that crashes its workers before they can confirm it still takes three at most.
- A job counted as alone in a crash beside a run that was too young to be confirmed, which may be the one to blame.
All young runs count now.
- A worker may have two runs of one task, of which one is being stopped.
Its crash counted twice under the task.
- The answer of a job that was given up named the rounds of the whole job as the crashes under one task ('a task crashed 4 workers' for two).

crash_recorded counts the runs that counted as begun (begun_runs).

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -24,17 +24,18 @@
 void crash_evidence::addCrash(const std::vector<lost_run> &runs, bool isSoon, bool isAlone)
 {
     const lost_run *latestBegun = nullptr;
+    // A worker may have two runs of one task, of which one is being stopped: the crash counts once.
+    std::map<std::uint64_t, start_evidence> startsByTask;
     for (const lost_run &run : runs) {
         m_lastCrashAt = std::max(m_lastCrashAt, run.lostAt);
-        if (run.hadBegun && (latestBegun == nullptr || run.orderedAt > latestBegun->orderedAt)) {
+        if (hadBegun(run.start) && (latestBegun == nullptr || run.orderedAt > latestBegun->orderedAt)) {
             latestBegun = &run;
         }
-        const std::uint64_t task = XXH3_64bits(run.task.data(), run.task.size());
-        if (m_crashesByTask.size() < MAX_TASKS || m_crashesByTask.contains(task)) {
-            task_crashes &crashes = m_crashesByTask[task];
-            ++crashes.possible;
-            crashes.begun += run.hadBegun ? 1 : 0;
-        }
+        start_evidence &start = startsByTask[XXH3_64bits(run.task.data(), run.task.size())];
+        start = std::max(start, run.start);
+    }
+    for (const auto &[task, start] : startsByTask) {
+        countUnderTask(task, start);
     }
     if (latestBegun != nullptr) {
         addInterval({latestBegun->orderedAt, latestBegun->lostAt});
@@ -58,11 +59,12 @@
 
 std::size_t crash_evidence::begunCrashesUnderOneTask() const
 {
-    std::size_t most = 0;
-    for (const auto &[task, crashes] : m_crashesByTask) {
-        most = std::max(most, crashes.begun);
-    }
-    return most;
+    return mostUnderOneTask(&task_crashes::begun);
+}
+
+std::size_t crash_evidence::confirmedCrashesUnderOneTask() const
+{
+    return mostUnderOneTask(&task_crashes::confirmed);
 }
 
 std::size_t crash_evidence::possibleCrashesUnderOneTask(std::size_t minBegunCrashes) const
@@ -96,6 +98,26 @@
     return m_queue;
 }
 
+void crash_evidence::countUnderTask(std::uint64_t task, start_evidence start)
+{
+    if (m_crashesByTask.size() >= MAX_TASKS && !m_crashesByTask.contains(task)) {
+        return;
+    }
+    task_crashes &crashes = m_crashesByTask[task];
+    ++crashes.possible;
+    crashes.begun += hadBegun(start) ? 1 : 0;
+    crashes.confirmed += start == start_evidence::confirmed ? 1 : 0;
+}
+
+std::size_t crash_evidence::mostUnderOneTask(std::size_t task_crashes::*count) const
+{
+    std::size_t most = 0;
+    for (const auto &[task, crashes] : m_crashesByTask) {
+        most = std::max(most, crashes.*count);
+    }
+    return most;
+}
+
 void crash_evidence::addInterval(const interval &added)
 {
     const auto contains
--- a/src/dispatch/crash_evidence.h
+++ b/src/dispatch/crash_evidence.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/time_source.h"
+#include "messages/crash_messages.h"
 
 namespace azuremoor
 {
@@ -18,8 +19,7 @@
     steady_time orderedAt;
     /// When the crash was noticed.
     steady_time lostAt;
-    /// Whether the run is known to have begun. Otherwise the worker may have crashed before the order reached it.
-    bool hadBegun = true;
+    start_evidence start = start_evidence::none;
 };
 
 /**
@@ -40,12 +40,15 @@
     /// workers do so soon after their start. The job is alone in it if that is so of no other job.
     void addCrash(const std::vector<lost_run> &runs, bool isSoon, bool isAlone);
 
-    /// Returns the largest number of crashes of which each hit a run that was ordered after the one before.
+    /// Returns the largest number of crashes of which each hit a run that is known to have begun and was ordered after the one before.
     std::size_t rounds() const;
 
     /// Returns the largest number of crashes that hit runs of the same task which are known to have begun.
     std::size_t begunCrashesUnderOneTask() const;
 
+    /// Returns the largest number of crashes that hit runs of the same task which their workers had confirmed.
+    std::size_t confirmedCrashesUnderOneTask() const;
+
     /// Returns the largest number of crashes that may have hit runs of the same task, of the tasks of which so many are known to have
     /// begun.
     std::size_t possibleCrashesUnderOneTask(std::size_t minBegunCrashes) const;
@@ -67,16 +70,21 @@
         steady_time lostAt;
     };
 
-    void addInterval(const interval &added);
-
-    std::string m_queue;
-    /// By the time of the crash. None contains another one, so that they are in the order of their beginnings too.
-    std::vector<interval> m_intervals;
+    /// Crashes that may have hit runs of one task, those whose run is known to have begun, and those whose run was confirmed.
     struct task_crashes {
         std::size_t possible = 0;
         std::size_t begun = 0;
+        std::size_t confirmed = 0;
     };
 
+    void addInterval(const interval &added);
+    /// Counts the crash under the task, of which the worker had a run with this evidence.
+    void countUnderTask(std::uint64_t task, start_evidence start);
+    std::size_t mostUnderOneTask(std::size_t task_crashes::*count) const;
+
+    std::string m_queue;
+    /// By the time of the crash. None contains another one, so that they are in the order of their beginnings too.
+    std::vector<interval> m_intervals;
     /// Crashes by the hash of the task's name.
     std::map<std::uint64_t, task_crashes> m_crashesByTask;
     bool m_areAllSoon = true;
--- a/src/dispatch/crash_guard.cpp
+++ b/src/dispatch/crash_guard.cpp
@@ -49,7 +49,7 @@
         }
     }
     for (const crashed_run &run : report.runs) {
-        if (hadBegun(run)) {
+        if (hadBegun(run.start)) {
             m_containment.recordCrash(run.queue, findings.noticedAt);
         }
     }
@@ -99,7 +99,7 @@
     if (m_ledger.verdictOf(job.spec.id) != crash_verdict::given_up) {
         return std::nullopt;
     }
-    const std::string crashes = std::to_string(m_ledger.successiveCrashesOf(job.spec.id));
+    const std::string crashes = std::to_string(m_ledger.crashesUnderOneTaskOf(job.spec.id));
     return job_answer{answer_kind::failed, "a task crashed " + crashes + " workers that started it, one after the other", {}};
 }
 
--- a/src/dispatch/crash_ledger.cpp
+++ b/src/dispatch/crash_ledger.cpp
@@ -19,10 +19,15 @@
 
 bool isToBlame(const crash_evidence &evidence)
 {
-    if (evidence.begunCrashesUnderOneTask() < MIN_CRASHES_UNDER_ONE_TASK) {
+    // Two workers have crashed under begun runs of one task, and a third one may have.
+    if (evidence.possibleCrashesUnderOneTask(MIN_CRASHES_UNDER_ONE_TASK) >= MAX_CRASH_ROUNDS) {
+        return true;
+    }
+    // With two crashes, or with one under another task, nothing less than the worker's word will do.
+    if (evidence.confirmedCrashesUnderOneTask() < MIN_CRASHES_UNDER_ONE_TASK) {
         return false;
     }
-    return evidence.possibleCrashesUnderOneTask(MIN_CRASHES_UNDER_ONE_TASK) >= MAX_CRASH_ROUNDS || evidence.rounds() >= MAX_CRASH_ROUNDS
+    return evidence.rounds() >= MAX_CRASH_ROUNDS
         || (evidence.rounds() >= SUFFICIENT_CRASH_ROUNDS && evidence.areAllSoon() && evidence.wasAlone());
 }
 
@@ -64,18 +69,23 @@
     for (const crashed_run &run : report.runs) {
         const std::string_view job = jobOfTask(run.task);
         const milliseconds age(run.ageMilliseconds);
-        runsByJob[job].push_back({run.task, findings.noticedAt - age, findings.noticedAt, hadBegun(run)});
+        runsByJob[job].push_back({run.task, findings.noticedAt - age, findings.noticedAt, run.start});
         queues[job] = run.queue;
     }
     std::set<std::string_view> soonJobs;
+    // Those that may have begun too late to be confirmed may be to blame as well.
+    std::set<std::string_view> possiblySoonJobs;
     for (const crashed_run &run : report.runs) {
-        if (hadBegun(run) && milliseconds(run.ageMilliseconds) <= m_limits.soonCrashTime) {
-            soonJobs.insert(jobOfTask(run.task));
+        if (milliseconds(run.ageMilliseconds) <= m_limits.soonCrashTime) {
+            possiblySoonJobs.insert(jobOfTask(run.task));
+            if (hadBegun(run.start)) {
+                soonJobs.insert(jobOfTask(run.task));
+            }
         }
     }
     for (const auto &[job, runs] : runsByJob) {
         const bool isSoon = soonJobs.contains(job);
-        charge(job, queues.at(job)).evidence.addCrash(runs, isSoon, isSoon && soonJobs.size() == 1);
+        charge(job, queues.at(job)).evidence.addCrash(runs, isSoon, isSoon && possiblySoonJobs.size() == 1);
     }
     for (const auto &[job, runs] : runsByJob) {
         const auto found = m_jobs.find(job);
@@ -89,6 +99,7 @@
                     {"age_ms", std::to_string(report.ageMilliseconds)},
                     {"runs", std::to_string(report.runs.size())},
                     {"confirmed_runs", std::to_string(std::ranges::count(report.runs, start_evidence::confirmed, &crashed_run::start))},
+                    {"begun_runs", std::to_string(std::ranges::count_if(report.runs, &hadBegun, &crashed_run::start))},
                     {"jobs", std::to_string(runsByJob.size())},
                     {"soon_jobs", std::to_string(soonJobs.size())},
                     {"given_up", std::to_string(findings.givenUpQueues.size())}});
@@ -112,10 +123,10 @@
     return found == m_jobs.end() ? 0 : found->second.evidence.rounds();
 }
 
-std::size_t crash_ledger::successiveCrashesOf(std::string_view job) const
+std::size_t crash_ledger::crashesUnderOneTaskOf(std::string_view job) const
 {
     const auto found = m_jobs.find(job);
-    return found == m_jobs.end() ? 0 : std::max(found->second.evidence.rounds(), found->second.evidence.begunCrashesUnderOneTask());
+    return found == m_jobs.end() ? 0 : found->second.evidence.begunCrashesUnderOneTask();
 }
 
 void crash_ledger::clear(std::string_view job)
--- a/src/dispatch/crash_ledger.h
+++ b/src/dispatch/crash_ledger.h
@@ -59,6 +59,7 @@
  * Tasks of one job count together, and so do copies of it at other entries, since agents report a crash to all entries. Whatever ran on a
  * crashed worker is charged with the crash; most of it is innocent. A job is given up after three rounds, and after two if each crash came
  * soon after the start of one of its tasks and in one of them no other run was as young. What ran longer is run again like any lost run.
+ * For two rounds, the worker must have confirmed the runs.
  *
  * No job is given up unless two workers have crashed under runs of one of its tasks that are known to have begun. A run whose worker did
  * not confirm it may have crashed its worker at once, or may have been ordered to one that was gone: the next ones ask their worker first.
@@ -88,8 +89,8 @@
     /// Returns the rounds of crashes that the job is charged with.
     std::size_t roundsOf(std::string_view job) const;
 
-    /// Returns the number of workers that are known to have crashed one after the other under tasks of the job.
-    std::size_t successiveCrashesOf(std::string_view job) const;
+    /// Returns the largest number of workers that are known to have crashed under one task of the job.
+    std::size_t crashesUnderOneTaskOf(std::string_view job) const;
 
     /// Forgets the evidence against a job, because all of its tasks have ended well.
     void clear(std::string_view job);
--- a/src/messages/crash_messages.h
+++ b/src/messages/crash_messages.h
@@ -13,16 +13,22 @@
 /// Maximum number of runs in a report of a crash. A worker with more of them is reported with those that began last.
 constexpr std::size_t MAX_CRASHED_RUNS = 128;
 
-/// What an agent knows of the start of a run that was lost in a crash.
+/// What an agent knows of the start of a run that was lost in a crash, the weakest evidence first.
 enum class start_evidence : std::uint8_t {
-    /// The start was sent and not answered: the worker may have crashed before it arrived.
+    /// The start was sent and not answered: the worker may have crashed before it arrived. Or the run had been stopped.
     none = 0,
-    /// The worker confirmed the start, or listed the run.
-    confirmed = 1,
     /// The worker answered a request that was sent after the order had arrived, and then the start was sent; it was not answered.
-    asked = 2,
+    asked = 1,
+    /// The worker confirmed the start, or listed the run.
+    confirmed = 2,
 };
 
+/// Returns whether the run counts as begun before its worker crashed.
+constexpr bool hadBegun(start_evidence start)
+{
+    return start != start_evidence::none;
+}
+
 /// A run that was ordered to a worker before its crash was noticed.
 struct crashed_run {
     /// Name of the task, unique across all jobs.
@@ -39,16 +45,10 @@
         archiveText(archive, task);
         archiveText(archive, queue);
         archive(ageMilliseconds);
-        archiveEnumeration(archive, start, start_evidence::asked);
+        archiveEnumeration(archive, start, start_evidence::confirmed);
     }
 };
 
-/// Returns whether the run is known to have begun before its worker crashed.
-inline bool hadBegun(const crashed_run &run)
-{
-    return run.start != start_evidence::none;
-}
-
 /// Crash of the worker of an agent, with the runs that were lost with it. The agent sends it to its entries before the results of these
 /// runs, and again to each entry that connects while it remembers the crash.
 struct crash_report {
