What a report says of a lost run is decided in the table of runs

run_supervisor.cpp had grown again. The run as a crash report names it, with the evidence of its start, moves to run_table; two names say what they do (releaseHeldStarts, needsRequest). No change of behaviour.

--- a/src/runs/held_starts.cpp
+++ b/src/runs/held_starts.cpp
@@ -11,14 +11,14 @@
     m_unrequested.push_back(order);
 }
 
-bool held_starts::needRequest() const
+bool held_starts::needsRequest() const
 {
     return !m_unrequested.empty();
 }
 
 void held_starts::recordRequest(std::uint64_t number)
 {
-    if (needRequest()) {
+    if (needsRequest()) {
         m_requested[number] = std::exchange(m_unrequested, {});
     }
 }
--- a/src/runs/held_starts.h
+++ b/src/runs/held_starts.h
@@ -15,11 +15,11 @@
 class held_starts
 {
 public:
-    /// Adds an order. Its request is the next one.
+    /// Adds an order, which waits for the next request that is recorded.
     void add(const run_order &order);
 
     /// Returns whether orders wait whose request has not been sent.
-    bool needRequest() const;
+    bool needsRequest() const;
 
     /// Records that a request was sent, with a number that is higher than those before.
     void recordRequest(std::uint64_t number);
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -28,14 +28,6 @@
 /// Time after a loss for which several renewals are kept pending.
 constexpr milliseconds LOSS_RECOVERY_TIME{3000};
 
-crashed_run toCrashedRun(const run_key &key, const supervised_run &run, steady_time now)
-{
-    const auto age = std::chrono::duration_cast<milliseconds>(now - run.startedAt);
-    const start_evidence unconfirmed = run.wasWorkerAsked ? start_evidence::asked : start_evidence::none;
-    const start_evidence start = run.isStartConfirmed ? start_evidence::confirmed : unconfirmed;
-    return {key.task, run.queue, static_cast<std::uint32_t>(age.count()), start};
-}
-
 std::string millisecondsBetween(steady_time begin, steady_time end)
 {
     return std::to_string((end - begin) / milliseconds(1));
@@ -174,13 +166,13 @@
 
 void run_supervisor::askForHeldStarts()
 {
-    if (m_worker != nullptr && m_heldStarts.needRequest()) {
+    if (m_worker != nullptr && m_heldStarts.needsRequest()) {
         renew(milliseconds(0));
         m_heldStarts.recordRequest(m_worker->lastRenewalNumber);
     }
 }
 
-void run_supervisor::decideHeldStarts(std::uint64_t renewalNumber, bool hasAnswered)
+void run_supervisor::releaseHeldStarts(std::uint64_t renewalNumber, bool hasAnswered)
 {
     const bool canStart = hasAnswered && !m_isClosed && isReady() && !isDraining();
     for (const run_order &order : m_heldStarts.takeRequested(renewalNumber)) {
@@ -350,11 +342,7 @@
 {
     dropHeldStarts();
     if (hasCrashed() && !m_table.runs().empty()) {
-        std::vector<crashed_run> lost;
-        for (const auto &[key, run] : m_table.runs()) {
-            lost.push_back(toCrashedRun(key, run, m_time.steadyNow()));
-        }
-        m_crashes.handleWorkerCrash(m_worker->report.workerInstance, std::move(lost));
+        m_crashes.handleWorkerCrash(m_worker->report.workerInstance, m_table.crashedRuns(m_time.steadyNow()));
     }
     discardWorker(run_outcome::worker_lost, "another instance answered, or nothing listens at its address");
 }
@@ -565,7 +553,7 @@
             // There is one agent process at a time, so a late call of an earlier one, to a former boot, has brought the higher token.
             m_worker->raiseFencingToken();
         }
-        decideHeldStarts(renewalNumber, false);
+        releaseHeldStarts(renewalNumber, false);
         if (!m_worker->hasLease && m_table.runs().empty()) {
             giveWay();
         }
@@ -586,7 +574,7 @@
         m_journal.note("worker_held", {{"worker", workerInstance}});
         renew(milliseconds(0));
     }
-    decideHeldStarts(renewalNumber, true);
+    releaseHeldStarts(renewalNumber, true);
     tick();
 }
 
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -148,7 +148,7 @@
     bool isCurrent(std::uint64_t registration) const;
     void sendStart(const run_order &order, supervised_run &run);
     /// Sends the starts that waited for the renewal, whose answer has arrived, or ends their runs if there was none.
-    void decideHeldStarts(std::uint64_t renewalNumber, bool hasAnswered);
+    void releaseHeldStarts(std::uint64_t renewalNumber, bool hasAnswered);
     /// Ends the runs whose start was not sent.
     void dropHeldStarts();
     void handleStartReply(std::uint64_t registration, const run_key &key, worker_reply reply, worker_milliseconds clock);
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -5,6 +5,14 @@
 namespace azuremoor
 {
 
+crashed_run toCrashedRun(const run_key &key, const supervised_run &run, steady_time now)
+{
+    const auto age = std::chrono::duration_cast<milliseconds>(now - run.startedAt);
+    const start_evidence unconfirmed = run.wasWorkerAsked ? start_evidence::asked : start_evidence::none;
+    const start_evidence start = run.isStartConfirmed ? start_evidence::confirmed : unconfirmed;
+    return {key.task, run.queue, static_cast<std::uint32_t>(age.count()), start};
+}
+
 run_table::run_map &run_table::runs()
 {
     return m_runs;
@@ -50,6 +58,16 @@
     return result;
 }
 
+std::vector<crashed_run> run_table::crashedRuns(steady_time now) const
+{
+    std::vector<crashed_run> result;
+    result.reserve(m_runs.size());
+    for (const auto &[key, run] : m_runs) {
+        result.push_back(toCrashedRun(key, run, now));
+    }
+    return result;
+}
+
 bool run_table::hasOverdueStop(steady_time now) const
 {
     return std::ranges::any_of(m_runs, [now](const auto &each) { return each.second.stopDeadline && now >= *each.second.stopDeadline; });
--- a/src/runs/run_table.h
+++ b/src/runs/run_table.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "messages/crash_messages.h"
 #include "runs/capacity_forecast.h"
 #include "runs/worker_client.h"
 
@@ -55,6 +56,9 @@
     bool isOfFormerBoot = false;
 };
 
+/// Returns the run as the report of a crash names it that has just been noticed.
+crashed_run toCrashedRun(const run_key &key, const supervised_run &run, steady_time now);
+
 /// The runs of a worker that use its capacity.
 class run_table
 {
@@ -77,6 +81,9 @@
     /// Returns the runs as the forecast takes them.
     std::vector<forecast_run> forecastRuns(steady_time now) const;
 
+    /// Returns the runs as the report of a crash names them that has just been noticed.
+    std::vector<crashed_run> crashedRuns(steady_time now) const;
+
     /// Returns whether a run has not ended by its stop deadline.
     bool hasOverdueStop(steady_time now) const;
 
