A pause of the agent starts no held run late, and is no silence of its worker

Found by a review, by reading. After a pause of an agent's process, the answer that a held start waited for could be handled before the leases were looked at: the start went out with a fresh deadline, though its entry may have presumed the end of the order and run the task elsewhere (rule TWICE). And a lease that had ended while the agent was paused was told as a worker that fell silent under its runs, four of which give a job up (rule LOST).

A held start has a deadline now, one request's time-out after its arrival. A worker counts as silent only if the agent has kept asking it until the end of its lease, and not for runs of a former boot.

--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -143,6 +143,7 @@
     supervised_run &added = m_table.runs().emplace(key, run).first->second;
     if (order.isWorkerAskedFirst) {
         added.state = run_state::held;
+        added.holdDeadline = m_time.steadyNow() + m_leases.requestTimeout;
         m_heldStarts.add(order);
     } else {
         sendStart(order, added);
@@ -180,7 +181,8 @@
         if (found == m_table.runs().end() || found->second.state != run_state::held) {
             continue;
         }
-        if (canStart) {
+        // After a pause of this process, its entry may have given the order up.
+        if (canStart && m_time.steadyNow() < found->second.holdDeadline) {
             sendStart(order, found->second);
         } else {
             endRun(found, run_outcome::closed);
@@ -669,9 +671,12 @@
     m_worker->hasLease = false;
     dropHeldStarts();
     m_journal.note("lease_lapsed", {{"worker", m_worker->report.workerInstance}, {"runs", std::to_string(m_table.runs().size())}});
+    // If this process has been paused, it does not know whether the worker would have answered.
+    const bool hasAsked = m_time.steadyNow() < m_worker->lastRenewal + 2 * m_leases.renewalInterval;
     while (!m_table.runs().empty()) {
         const supervised_run &run = m_table.runs().begin()->second;
-        endRun(m_table.runs().begin(), run.state == run_state::running ? run_outcome::worker_silent : run_outcome::lapsed);
+        const bool isSilence = hasAsked && run.state == run_state::running && !run.isOfFormerBoot;
+        endRun(m_table.runs().begin(), isSilence ? run_outcome::worker_silent : run_outcome::lapsed);
     }
     giveWay();
 }
--- a/src/runs/run_table.h
+++ b/src/runs/run_table.h
@@ -39,6 +39,8 @@
     /// The worker confirmed a stop, so the run cannot begin any more.
     bool isStopConfirmed = false;
     bool isStartSent = false;
+    /// Until when a start that is held may be sent.
+    steady_time holdDeadline;
     /// The worker confirmed the start, or listed the run.
     bool isStartConfirmed = false;
     /// The start was held until the worker had answered.
--- a/src/runs/tests/run_supervisor_test.cpp
+++ b/src/runs/tests/run_supervisor_test.cpp
@@ -188,6 +188,122 @@
     CHECK(test.resultOf(1) == run_outcome::worker_silent);
 }
 
+namespace
+{
+
+/// A worker whose answers arrive when the test hands them over, as after a pause of the agent's process.
+class late_answers : public worker_client, public run_result_listener, public worker_crash_listener
+{
+public:
+    late_answers()
+        : journal(time)
+        , supervisor(time, {}, *this, *this, *this, journal)
+    {
+        worker_report report;
+        report.workerInstance = "worker";
+        report.address = "127.0.0.1:1";
+        report.service = "desk";
+        report.capacity = {4000, 4096, 0};
+        report.clock = CLOCK;
+        report.sequence = 1;
+        supervisor.handleReport(report);
+        answerRenewals();
+        answerRenewals();
+        REQUIRE(supervisor.isReady());
+    }
+
+    void startRun(const request_context &,
+                  const run_order &,
+                  worker_milliseconds,
+                  std::function<void(worker_reply, worker_milliseconds)> done) override
+    {
+        starts.push_back(std::move(done));
+    }
+
+    void stopRun(const request_context &, const run_key &, std::function<void(worker_reply)>) override
+    {
+    }
+
+    void renewLease(const request_context &, const lease_request &, std::function<void(const lease_response &)> done) override
+    {
+        renewals.push_back(std::move(done));
+    }
+
+    void handleRunResult(const std::string &, std::uint64_t, run_outcome outcome) override
+    {
+        results.push_back(outcome);
+    }
+
+    void handleWorkerCrash(const std::string &, std::vector<crashed_run>) override
+    {
+    }
+
+    /// Answers the renewals that have been sent so far.
+    void answerRenewals()
+    {
+        for (const auto &done : std::exchange(renewals, {})) {
+            lease_response response;
+            response.reply = worker_reply::accepted;
+            response.clock = CLOCK + (time.steadyNow() - m_begin) / milliseconds(1);
+            done(response);
+        }
+    }
+
+    void order(bool isWorkerAskedFirst)
+    {
+        run_order ordered{1, "job.0.0.0", 1, "payload", {500, 64, 0}};
+        ordered.isWorkerAskedFirst = isWorkerAskedFirst;
+        supervisor.start("entry#1", "worker", ordered);
+        supervisor.askForHeldStarts();
+    }
+
+    static constexpr worker_milliseconds CLOCK = 1000;
+    virtual_time time;
+    decision_journal journal;
+    std::vector<std::function<void(worker_reply, worker_milliseconds)>> starts;
+    std::vector<std::function<void(const lease_response &)>> renewals;
+    std::vector<run_outcome> results;
+    run_supervisor supervisor;
+
+private:
+    steady_time m_begin = time.steadyNow();
+};
+
+}
+
+/// Guards against a task that runs twice: after a pause of the agent its entry may have presumed the end of an order whose start is held.
+TEST_CASE("a start that is held is not sent when the worker's answer is handled late")
+{
+    late_answers test;
+    test.order(true);
+    SUBCASE("in time")
+    {
+        test.time.run(milliseconds(10));
+        test.answerRenewals();
+        CHECK(test.starts.size() == 1);
+        CHECK(test.results.empty());
+    }
+    SUBCASE("late")
+    {
+        test.time.run(lease_timing().requestTimeout + milliseconds(1));
+        test.answerRenewals();
+        CHECK(test.starts.empty());
+        CHECK(test.results == std::vector<run_outcome>{run_outcome::closed});
+    }
+}
+
+/// Guards against a job that is given up for workers that fell silent, although their agents had been paused.
+TEST_CASE("an agent that was paused does not say that its worker fell silent")
+{
+    late_answers test;
+    test.order(false);
+    REQUIRE(test.starts.size() == 1);
+    test.starts.front()(worker_reply::accepted, late_answers::CLOCK);
+    test.time.run(seconds(2));
+    test.supervisor.tick();
+    CHECK(test.results == std::vector<run_outcome>{run_outcome::lapsed});
+}
+
 /// Guards against a job that is given up for workers that fell silent before its runs had begun there, or that were paused with their
 /// agent.
 TEST_CASE("a run that was not confirmed, or that its worker lists as ended with its lease, is not one under which a worker fell silent")
