A run whose stop its worker has confirmed is not charged with a crash

Found by a review, by reading: a run that was moved or preempted, and had ended on its worker, was reported as begun in a crash that came before the worker could list the end, and counted under its task (rule LOST, with a second one). It is reported without evidence of a start now: a possible crash.

--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -9,7 +9,9 @@
 {
     const auto age = std::chrono::duration_cast<milliseconds>(now - run.startedAt);
     const start_evidence unconfirmed = run.wasWorkerAsked ? start_evidence::asked : start_evidence::none;
-    const start_evidence start = run.isStartConfirmed ? start_evidence::confirmed : unconfirmed;
+    const start_evidence unstopped = run.isStartConfirmed ? start_evidence::confirmed : unconfirmed;
+    // A run whose stop was confirmed had ended before the crash, or was about to.
+    const start_evidence start = run.isStopConfirmed ? start_evidence::none : unstopped;
     return {key.task, run.queue, static_cast<std::uint32_t>(age.count()), start};
 }
 
--- a/src/runs/tests/crash_report_test.cpp
+++ b/src/runs/tests/crash_report_test.cpp
@@ -265,6 +265,19 @@
     CHECK(tasksOf(reportsTo("one").front()) == std::vector<std::string>{"job.0.0.1", "job.0.0.0"});
 }
 
+/// Guards against a task that is charged with a crash after its run was stopped, before the worker could list the end.
+TEST_CASE_FIXTURE(crash_fixture, "a run whose stop the worker has confirmed is not reported as begun")
+{
+    order(1, "job.0.0.0");
+    run(milliseconds(50));
+    worker.renewalDelivery = fake_worker::order_delivery::lost;
+    agent.handleMessage("one", stop_runs{{1}});
+    time.run(milliseconds(1));
+    crash();
+    REQUIRE(reportsTo("one").size() == 1);
+    CHECK(reportsTo("one").front().runs.front().start == start_evidence::none);
+}
+
 /// Guards against a task that is suspected because its start was refused by a host whose worker had crashed before.
 TEST_CASE_FIXTURE(crash_fixture, "a run whose own start reached no worker is not in the report")
 {
