--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -460,7 +460,8 @@
         return;
     case worker_reply::wrong_worker:
     case worker_reply::connection_refused:
-        // This start reached no worker, so its run has crashed none.
+        // This start reached no worker, so its run has crashed none, and those that were sent later have not either.
+        m_table.recordRefusedStart(run.startedAt);
         endRun(found, run_outcome::worker_lost);
         discardEndedWorker();
         return;
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -60,6 +60,13 @@
     return result;
 }
 
+void run_table::recordRefusedStart(steady_time sentAt)
+{
+    for (auto &[key, run] : m_runs) {
+        run.wasWorkerAsked = run.wasWorkerAsked && run.startedAt < sentAt;
+    }
+}
+
 std::vector<crashed_run> run_table::crashedRuns(steady_time now) const
 {
     std::vector<crashed_run> result;
--- a/src/runs/run_table.h
+++ b/src/runs/run_table.h
@@ -43,7 +43,7 @@
     steady_time holdDeadline;
     /// The worker confirmed the start, or listed the run.
     bool isStartConfirmed = false;
-    /// The start was held until the worker had answered.
+    /// The start was held until the worker had answered, and nothing shows that the worker was down when it was sent.
     bool wasWorkerAsked = false;
     /// Number of the first renewal whose answer is certain to list the run if it is in progress; 0 while unknown.
     std::uint64_t firstConclusiveRenewal = 0;
@@ -83,6 +83,9 @@
     /// Returns the runs as the forecast takes them.
     std::vector<forecast_run> forecastRuns(steady_time now) const;
 
+    /// Records that the worker was down when a start was sent at the given time, so that later ones did not reach it.
+    void recordRefusedStart(steady_time sentAt);
+
     /// Returns the runs as the report of a crash names them that has just been noticed.
     std::vector<crashed_run> crashedRuns(steady_time now) const;
 
--- a/src/runs/tests/crash_report_test.cpp
+++ b/src/runs/tests/crash_report_test.cpp
@@ -449,6 +449,26 @@
     CHECK(outcomeOf(1) == run_outcome::worker_lost);
 }
 
+/// Guards against a sound job that fails because its worker crashed between its last answer and the starts of two of its tasks, of which
+/// the first was refused.
+TEST_CASE_FIXTURE(crash_fixture, "a start that was sent after a refused one is not taken for one that reached its worker")
+{
+    order(1, "job.0.0.0");
+    run(milliseconds(50));
+    worker.startDelivery = fake_worker::order_delivery::refused;
+    std::vector<run_order> orders{{2, "job.0.0.1", 1, "payload", {500, 64, 0}}, {3, "job.0.0.2", 1, "payload", {500, 64, 0}}};
+    for (run_order &each : orders) {
+        each.isWorkerAskedFirst = true;
+    }
+    agent.handleMessage("one", start_runs{worker.name, orders});
+    time.run(milliseconds(1));
+    REQUIRE(reportsTo("one").size() == 1);
+    const crash_report report = reportsTo("one").front();
+    CHECK(tasksOf(report) == std::vector<std::string>{"job.0.0.2", "job.0.0.0"});
+    CHECK(report.runs.front().start == start_evidence::none);
+    CHECK(report.runs.back().start == start_evidence::confirmed);
+}
+
 /// Guards against a run that begins after its entry was told that it never will, or after it was stopped.
 TEST_CASE_FIXTURE(crash_fixture, "a start that is held is never sent if the worker does not answer, or the run is stopped before")
 {
