--- a/review/harness-3/executor.py
+++ b/review/harness-3/executor.py
@@ -17,7 +17,6 @@
 class Run:
     """A run that is at work."""
 
-    number: int
     began: float
     ends: float
     stopping: bool = False
@@ -35,6 +34,7 @@
         self.service = service
         self.cpu = cpu
         self.labels = list(labels)
+        # By task and number.
         self.runs = {}
         self.ended = []
         self.ends = 0
@@ -69,19 +69,20 @@
 
     def _advance(self):
         now = time.monotonic()
-        for task, run in list(self.runs.items()):
+        for key, run in list(self.runs.items()):
             if run.ends <= min(now, self.lease_end):
-                self._end(task, "stopped" if run.stopping else "done")
+                self._end(key, "stopped" if run.stopping else "done")
         if now >= self.lease_end:
-            for task in list(self.runs):
-                self._end(task, "lapsed")
+            for key in list(self.runs):
+                self._end(key, "lapsed")
 
-    def _end(self, task, how):
-        run = self.runs.pop(task)
-        self.highest[task] = max(self.highest.get(task, 0), run.number)
+    def _end(self, key, how):
+        task, number = key
+        del self.runs[key]
+        self.highest[task] = max(self.highest.get(task, 0), number)
         self.ends += 1
-        self.ended.append([self.ends, task, run.number, how, ""])
-        self.record.end(self, task, run.number, how)
+        self.ended.append([self.ends, task, number, how, ""])
+        self.record.end(self, task, number, how)
 
     def _clock(self):
         return int((time.monotonic() - self.zero) * 1000)
@@ -109,24 +110,23 @@
 
     def _start(self, body):
         task, number = body["task"], body["runId"]
-        present = self.runs.get(task)
-        if present is not None and present.number == number:
+        if (task, number) in self.runs:
             return self._answer(200)
         if body["deadlineMs"] < self._clock():
             return self._answer(409, reason="late")
         self._extend(body["deadlineMs"])
-        if number <= self.highest.get(task, 0) or (present is not None and number < present.number):
+        if number <= self.highest.get(task, 0):
             return self._answer(409, reason="old")
         now = time.monotonic()
-        self.runs[task] = Run(number, now, now + float(body["spec"].split(":")[1]) / 1000)
+        self.runs[task, number] = Run(now, now + float(body["spec"].split(":")[1]) / 1000)
         self.record.begin(self, task, number, body["spec"])
         return self._answer(200)
 
     def _stop(self, body):
         task, number = body["task"], body["runId"]
         self.highest[task] = max(self.highest.get(task, 0), number)
-        run = self.runs.get(task)
-        if run is not None and run.number <= number and not run.stopping:
+        run = self.runs.get((task, number))
+        if run is not None and not run.stopping:
             run.stopping = True
             run.ends = min(run.ends, time.monotonic() + STOP_S)
         return self._answer(200)
@@ -140,8 +140,8 @@
             await asyncio.sleep(0.004)
         self._advance()
         now = time.monotonic()
-        active = [[task, run.number, "", min(99, int(100 * (now - run.began) / max(run.ends - run.began, 0.001))), 0]
-                  for task, run in self.runs.items()]
+        active = [[task, number, "", min(99, int(100 * (now - run.began) / max(run.ends - run.began, 0.001))), 0]
+                  for (task, number), run in self.runs.items()]
         return self._answer(200, active=active, finished=self._unread())
 
     def _unread(self):
