--- a/review/harness-3/case.py
+++ b/review/harness-3/case.py
@@ -18,9 +18,9 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def job_body(steps, milliseconds, count=1):
-    """Returns a job that needn't be kept, of steps one after the other; the spec says how long a task works."""
-    shape = {"count": count, "cpu": 3100, "memMb": 64, "estimatedMs": milliseconds}
+def job_body(steps, milliseconds, count=1, **fields):
+    """Returns a job that needn't be kept, of steps one after the other with these fields; the spec says how long a task works."""
+    shape = {"count": count, "cpu": 3100, "memMb": 64, "estimatedMs": milliseconds, **fields}
     return {"spec": f"work:{milliseconds}", "bestEffort": True, "steps": [{**shape, **({"dependsOn": [step - 1]} if step else {})} for step in range(steps)]}
 
 
--- a/review/harness-3/executor.py
+++ b/review/harness-3/executor.py
@@ -45,15 +45,18 @@
         self.zero = time.monotonic() - 100.0
         self.sequence = 0
         self.state = "ready"
-        self.server = None
+        # While it is cut off, no call reaches it and no answer leaves it; it runs on.
+        self.connected = asyncio.Event()
+        self.connected.set()
 
     async def start(self):
-        self.server = await serve(self.address, self._handle)
+        await serve(self.address, self._handle)
         asyncio.create_task(self._beat())
         asyncio.create_task(self._work())
 
     async def _beat(self):
         while True:
+            await self.connected.wait()
             self.sequence += 1
             answer = await call_once(self.control, "POST", "/Instances.Heartbeat/" + self.identifier, {
                 "service": self.service, "address": f"{self.address[0]}:{self.address[1]}", "zone": self.zone, "version": "v1", "slots": 8,
@@ -91,6 +94,14 @@
         return status, {"clockMs": self._clock(), **fields}
 
     async def _handle(self, request):
+        if not self.connected.is_set():
+            # The call is lost: its sender has given up long before the cut heals.
+            await self.connected.wait()
+            return None
+        answer = await self._carry_out(request)
+        return answer if self.connected.is_set() else None
+
+    async def _carry_out(self, request):
         if request.path == "/healthz":
             return 200, {}
         self._advance()
