--- a/review/harness-3/executor.py
+++ b/review/harness-3/executor.py
@@ -48,12 +48,25 @@
         # While it is cut off, no call reaches it and no answer leaves it; it runs on.
         self.connected = asyncio.Event()
         self.connected.set()
+        self.server = None
 
     async def start(self):
-        await serve(self.address, self._handle)
+        self.server = await serve(self.address, self._handle)
         asyncio.create_task(self._beat())
         asyncio.create_task(self._work())
 
+    def cut_off(self, refuses=False):
+        """No call reaches it any more. New channels are refused, or hang as the open ones do."""
+        self.connected.clear()
+        if refuses:
+            self.server.close()
+
+    async def connect(self):
+        """Ends the cut."""
+        if not self.server.is_serving():
+            self.server = await serve(self.address, self._handle)
+        self.connected.set()
+
     async def _beat(self):
         while True:
             await self.connected.wait()
--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -9,7 +9,6 @@
 import subprocess
 import tempfile
 import time
-import tomllib
 
 from executor import Executor
 from store import Store
@@ -69,6 +68,13 @@
         return found
 
 
+def read_commands():
+    """Returns the command of each role in the deploy file."""
+    with open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8") as file:
+        text = file.read()
+    return dict(re.findall(r'^\[roles\.(\w+)\]\nrun = "([^"]*)"$', text, re.MULTILINE))
+
+
 def render(text, fields):
     """Fills the braces of a command, as DEPLOY.md tells it."""
 
@@ -109,7 +115,7 @@
                 "limits": {"cpuShare": 0.25 if self.role == "entry" else 0.15, "linkMbps": 1000.0}}
 
     def start(self):
-        words = render(self.fleet.deploy["roles"][self.role]["run"], self.settings()).split(" ")
+        words = render(self.fleet.commands[self.role], self.settings()).split(" ")
         log = open(os.path.join(self.fleet.folder, self.name + ".log"), "ab")
         self.process = subprocess.Popen(words, cwd=ROOT, stdout=log, stderr=log)
 
@@ -134,10 +140,9 @@
     """The machines, executors and the store of one case."""
 
     def __init__(self, record, entries, agents, seeds=None, cpu=16000):
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            self.deploy = tomllib.load(file)
-        for role in self.deploy["roles"].values():
-            if not os.path.exists(os.path.join(ROOT, role["run"].split(" ")[0])):
+        self.commands = read_commands()
+        for command in self.commands.values():
+            if not os.path.exists(os.path.join(ROOT, command.split(" ")[0])):
                 raise CannotRun("the build of the deploy file is missing")
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.net = self._free_net()
