--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -340,13 +340,14 @@
     return isResponsive() && !isDraining();
 }
 
-void run_supervisor::discardEndedWorker()
+void run_supervisor::discardEndedWorker(worker_reply evidence)
 {
     dropHeldStarts();
     if (hasCrashed() && !m_table.runs().empty()) {
         m_crashes.handleWorkerCrash(m_worker->report.workerInstance, m_table.crashedRuns(m_time.steadyNow()));
     }
-    discardWorker(run_outcome::worker_lost, "another instance answered, or nothing listens at its address");
+    const bool isRefusal = evidence == worker_reply::connection_refused;
+    discardWorker(run_outcome::worker_lost, isRefusal ? "its host refused the connection" : "another instance answered");
 }
 
 void run_supervisor::discardWorker(run_outcome outcome, const std::string &reason)
@@ -355,7 +356,8 @@
                    {{"worker", m_worker->report.workerInstance},
                     {"reason", reason},
                     {"runs", std::to_string(m_table.runs().size())},
-                    {"last_answer_ms", millisecondsBetween(m_worker->lastAnswer, m_time.steadyNow())}});
+                    {"last_answer_ms", millisecondsBetween(m_worker->lastAnswer, m_time.steadyNow())},
+                    {"lease_left_ms", millisecondsBetween(m_time.steadyNow(), m_worker->clock.latestLeaseEnd())}});
     const std::optional<worker_report> successor = m_contenders.takeSuccessor(m_worker->report.identity());
     dropHeldStarts();
     m_worker.reset();
@@ -463,7 +465,7 @@
         // This start reached no worker, so its run has crashed none, and those that were sent later have not either.
         m_table.recordRefusedStart(run.startedAt);
         endRun(found, run_outcome::worker_lost);
-        discardEndedWorker();
+        discardEndedWorker(reply);
         return;
     case worker_reply::unknown:
         m_worker->lossRecoveryEnd = m_time.steadyNow() + LOSS_RECOVERY_TIME;
@@ -505,7 +507,7 @@
         return;
     }
     if (reply == worker_reply::wrong_worker || reply == worker_reply::connection_refused) {
-        discardEndedWorker();
+        discardEndedWorker(reply);
         return;
     }
     const auto found = m_table.runs().find(key);
@@ -542,7 +544,7 @@
     const std::string workerInstance = m_worker->report.workerInstance;
     --m_worker->pendingRenewals;
     if (response.reply == worker_reply::wrong_worker || response.reply == worker_reply::connection_refused) {
-        discardEndedWorker();
+        discardEndedWorker(response.reply);
         return;
     }
     if (response.reply == worker_reply::accepted && response.boot != 0 && response.boot != m_worker->report.boot) {
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -141,7 +141,7 @@
     /// Returns whether the current worker, whose runs are known to be over, has crashed: it answered recently, and its end was not planned.
     bool hasCrashed() const;
     /// Gives the worker up, because another instance answered or its host refused the connection. Reports a crash if it was one.
-    void discardEndedWorker();
+    void discardEndedWorker(worker_reply evidence);
     /// Gives the worker up, because its runs cannot go on, and turns to the contender, if there is one.
     void discardWorker(run_outcome outcome, const std::string &reason);
     /// Returns whether the registration is that of the current worker.
