--- a/src/dispatch/tests/dispatch_histories.cpp
+++ b/src/dispatch/tests/dispatch_histories.cpp
@@ -118,6 +118,7 @@
     result.push_back(withoutCheck("a worker executes orders after their deadline", safety_check::start_deadline));
     result.push_back(withoutCheck("a draining worker gets new runs", safety_check::drain));
     result.push_back(withoutCheck("a worker gets more runs than its capacity allows", safety_check::capacity));
+    result.push_back(withoutCheck("a refused connection counts as the end of a worker", safety_check::refused_connection));
     result.push_back(withoutCheck("an agent keeps no leases of origins", safety_check::origin_lease));
     result.push_back(withoutCheck("signs of life after giving up count for the jobs that were given up", safety_check::handover_epoch));
     result.push_back(withoutCheck("a handed-over job is handed over again", safety_check::one_hop));
--- a/src/dispatch/tests/dispatch_history.cpp
+++ b/src/dispatch/tests/dispatch_history.cpp
@@ -533,6 +533,7 @@
     , m_formerReports(settings.agents)
     , m_areBootsStated(settings.seed % 3 != 0)
     , m_identityRandom(settings.seed)
+    , m_refusalRandom(settings.seed)
     , m_hasPriorities(settings.priorities == dispatch_history_settings::priority_mode::always || settings.seed % 2 == 0)
 {
     for (std::size_t index = 0; index < settings.agents; ++index) {
@@ -544,6 +545,7 @@
         worker->checksInstance = settings.disabledCheck != safety_check::worker_instance;
         worker->checksRunNumber = settings.disabledCheck != safety_check::run_number;
         worker->checksStartDeadline = settings.disabledCheck != safety_check::start_deadline;
+        worker->tellsRefusalFromEnd = settings.disabledCheck != safety_check::refused_connection;
         worker->onStart = [this, index](const run_key &run, const task_shape &shape) { checkStart(index, run, shape); };
         m_workers.push_back(std::move(worker));
     }
@@ -587,6 +589,7 @@
         scheduleJobs();
         scheduleFaults();
         scheduleMisleadingReports();
+        scheduleRefusedConnections();
     });
     // The last jobs are settled in the additional time: a caller tries four times, and waits for the answer and before the next try.
     m_time.run(m_settings.length + seconds(16));
@@ -1116,6 +1119,21 @@
     m_time.after(microseconds(m_identityRandom() % LONGEST_PAUSE_US), [this] { scheduleMisleadingReports(); });
 }
 
+void dispatch_history::scheduleRefusedConnections()
+{
+    if (m_settings.faultInterval.count() == 0 || m_time.steadyNow().time_since_epoch() > seconds(1000) + m_settings.length) {
+        return;
+    }
+    constexpr std::uint64_t LONGEST_CUT_MS = 2'500;
+    constexpr std::uint64_t LONGEST_SHORT_CUT_MS = 150;
+    constexpr std::uint64_t LONGEST_PAUSE_US = 4'000'000;
+    fake_worker &worker = *m_workers[m_refusalRandom() % m_workers.size()];
+    const milliseconds length(m_refusalRandom() % (m_refusalRandom() % 2 == 0 ? LONGEST_CUT_MS : LONGEST_SHORT_CUT_MS));
+    worker.isCutOff = true;
+    m_time.after(length, [&worker] { worker.isCutOff = false; });
+    m_time.after(length + microseconds(m_refusalRandom() % LONGEST_PAUSE_US), [this] { scheduleRefusedConnections(); });
+}
+
 void dispatch_history::misleadAgent(std::size_t index)
 {
     const std::shared_ptr<agent_process> agent = m_agents[index];
--- a/src/dispatch/tests/dispatch_history.h
+++ b/src/dispatch/tests/dispatch_history.h
@@ -48,6 +48,8 @@
     preempted_end,
     /// A run that was stopped for a higher priority counts as begun.
     preempted_begin,
+    /// The runs of a worker that refuses connections go on until its lease has ended or another instance answers.
+    refused_connection,
 };
 
 /// Parameters of a history.
@@ -172,6 +174,8 @@
     /// Sends an agent now and then what does not come from its worker as it is: a late report of a former boot, a report with another
     /// address, a repeated one, or the announcement of a departure.
     void scheduleMisleadingReports();
+    /// Cuts workers off at random, with their connections refused. They run on.
+    void scheduleRefusedConnections();
     void misleadAgent(std::size_t index);
     void closeLink(std::size_t entry, std::size_t agent);
     void closeEntryLink(std::size_t one, std::size_t other);
@@ -201,6 +205,8 @@
     bool m_areBootsStated;
     /// Decides about names and misleading reports, so that the other decisions of a seed do not depend on them.
     std::mt19937_64 m_identityRandom;
+    /// Draws apart, so that the other faults of a seed stay as they were.
+    std::mt19937_64 m_refusalRandom;
     std::vector<std::unique_ptr<simulated_link>> m_links;
     std::vector<std::unique_ptr<simulated_link>> m_entryLinks;
     std::vector<std::shared_ptr<entry_process>> m_entries;
--- a/src/runs/crash_log.cpp
+++ b/src/runs/crash_log.cpp
@@ -20,31 +20,36 @@
 {
 }
 
-crash_report crash_log::add(std::vector<crashed_run> runs)
+crash_report crash_log::add(std::vector<crashed_run> runs, steady_time noticedAt)
 {
     std::ranges::stable_sort(runs, {}, &crashed_run::ageMilliseconds);
     runs.resize(std::min(runs.size(), MAX_CRASHED_RUNS));
     ++m_count;
-    m_crashes.push_back({{m_process + '/' + std::to_string(m_count), 0, std::move(runs)}, m_time.steadyNow()});
+    m_crashes.push_back({{m_process + '/' + std::to_string(m_count), 0, std::move(runs)}, noticedAt});
     if (m_crashes.size() > MAX_CRASHES) {
         m_crashes.pop_front();
     }
-    return m_crashes.back().report;
+    return currentReport(m_crashes.back());
 }
 
 std::vector<crash_report> crash_log::reports() const
 {
     std::vector<crash_report> result;
     for (const remembered_crash &crash : m_crashes) {
-        const microseconds age = m_time.steadyNow() - crash.noticedAt;
-        if (age < RETENTION) {
-            result.push_back(crash.report);
-            result.back().ageMilliseconds = static_cast<std::uint32_t>(age / milliseconds(1));
+        if (m_time.steadyNow() < crash.noticedAt + RETENTION) {
+            result.push_back(currentReport(crash));
         }
     }
     return result;
 }
 
+crash_report crash_log::currentReport(const remembered_crash &crash) const
+{
+    crash_report report = crash.report;
+    report.ageMilliseconds = static_cast<std::uint32_t>((m_time.steadyNow() - crash.noticedAt) / milliseconds(1));
+    return report;
+}
+
 std::uint64_t crash_log::count() const
 {
     return m_count;
--- a/src/runs/crash_log.h
+++ b/src/runs/crash_log.h
@@ -25,8 +25,9 @@
     /// The process of the agent distinguishes its crashes from those of others.
     crash_log(const time_source &time, const hello &agent);
 
-    /// Adds a crash and returns its report, with the runs that began last first. Earlier runs beyond MAX_CRASHED_RUNS are left out.
-    crash_report add(std::vector<crashed_run> runs);
+    /// Adds a crash that was noticed at the given time, and returns its report as of now, with the runs that began last first. Earlier runs
+    /// beyond MAX_CRASHED_RUNS are left out.
+    crash_report add(std::vector<crashed_run> runs, steady_time noticedAt);
 
     /// Returns the reports of the remembered crashes, oldest first, with their ages as of now.
     std::vector<crash_report> reports() const;
@@ -40,6 +41,9 @@
         steady_time noticedAt;
     };
 
+    /// Returns the report with its age as of now.
+    crash_report currentReport(const remembered_crash &crash) const;
+
     const time_source &m_time;
     /// First part of the identifiers of crashes.
     std::string m_process;
--- a/src/runs/run_agent.cpp
+++ b/src/runs/run_agent.cpp
@@ -209,16 +209,16 @@
     }
 }
 
-void run_agent::handleWorkerCrash(const std::string &workerInstance, std::vector<crashed_run> runs)
+void run_agent::handleWorkerCrash(const worker_crash &crash)
 {
-    const std::size_t lostRuns = runs.size();
-    const auto confirmedRuns = std::ranges::count(runs, start_evidence::confirmed, &crashed_run::start);
-    const crash_report report = m_crashes.add(std::move(runs));
+    const auto confirmedRuns = std::ranges::count(crash.runs, start_evidence::confirmed, &crashed_run::start);
+    const crash_report report = m_crashes.add(crash.runs, crash.noticedAt);
     const crashed_run &youngest = report.runs.front();
     m_journal.note("worker_crashed",
-                   {{"worker", workerInstance.substr(0, MAX_NAME_BYTES)},
+                   {{"worker", crash.worker.instance.substr(0, MAX_NAME_BYTES)},
                     {"crash", report.crash},
-                    {"runs", std::to_string(lostRuns)},
+                    {"noticed_ms_ago", std::to_string(report.ageMilliseconds)},
+                    {"runs", std::to_string(crash.runs.size())},
                     {"confirmed_runs", std::to_string(confirmedRuns)},
                     {"youngest_task", youngest.task.substr(0, MAX_NAME_BYTES)},
                     {"youngest_age_ms", std::to_string(youngest.ageMilliseconds)},
--- a/src/runs/run_agent.h
+++ b/src/runs/run_agent.h
@@ -80,7 +80,7 @@
     void handleRunResult(const std::string &session, std::uint64_t sequence, run_outcome outcome) override;
 
     /// Remembers the crash, and tells all connected entries at once, so that they know of it before they get the results of its runs.
-    void handleWorkerCrash(const std::string &workerInstance, std::vector<crashed_run> runs) override;
+    void handleWorkerCrash(const worker_crash &crash) override;
 
     run_supervisor &supervisor();
     const run_supervisor &supervisor() const;
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -249,17 +249,16 @@
         return;
     }
     const steady_time now = m_time.steadyNow();
-    for (auto &[key, run] : m_table.runs()) {
-        if (run.state == run_state::stopping && now >= run.nextStopAttempt) {
-            sendStop(key, run);
+    // A worker that refuses connections is asked at intervals only: refusals come back at once.
+    if (!m_worker->refusesConnections) {
+        repeatStops();
+        const std::size_t targetRenewals = now < m_worker->lossRecoveryEnd ? CONCURRENT_RENEWALS_AFTER_LOSS : 1;
+        while (m_worker->pendingRenewals < targetRenewals) {
+            renew(RENEWAL_POLL_TIMEOUT);
         }
     }
-    const std::size_t targetRenewals = now < m_worker->lossRecoveryEnd ? CONCURRENT_RENEWALS_AFTER_LOSS : 1;
-    while (m_worker->pendingRenewals < targetRenewals) {
-        renew(RENEWAL_POLL_TIMEOUT);
-    }
     if (now >= m_worker->lastRenewal + m_leases.renewalInterval) {
-        // All pending renewals seem to be lost. The extra one asks the worker to answer immediately.
+        // All pending renewals seem to be lost, or were refused. The extra one asks the worker to answer immediately.
         renew(milliseconds(0));
     }
 }
@@ -309,8 +308,8 @@
 
 bool run_supervisor::isReady() const
 {
-    return m_worker != nullptr && m_worker->hasReported && m_worker->hasLease && !m_worker->hasForeignRuns && isResponsive()
-        && !m_table.hasOverdueStop(m_time.steadyNow());
+    return m_worker != nullptr && m_worker->hasReported && m_worker->hasLease && !m_worker->hasForeignRuns && !m_worker->refusesConnections
+        && isResponsive() && !m_table.hasOverdueStop(m_time.steadyNow());
 }
 
 bool run_supervisor::isDraining() const
@@ -335,19 +334,65 @@
     renew(milliseconds(0));
 }
 
-bool run_supervisor::hasCrashed() const
+bool run_supervisor::wouldBeCrash() const
 {
     return isResponsive() && !isDraining();
 }
 
-void run_supervisor::discardEndedWorker(worker_reply evidence)
+worker_crash run_supervisor::currentCrash() const
+{
+    const steady_time now = m_time.steadyNow();
+    return {m_worker->report.identity(), now, m_table.crashedRuns(now)};
+}
+
+void run_supervisor::handleRefusedConnection()
+{
+    dropHeldStarts();
+    if (std::exchange(m_worker->refusesConnections, true)) {
+        return;
+    }
+    const bool isSuspected = wouldBeCrash() && !m_table.runs().empty();
+    if (isSuspected) {
+        m_suspicion.begin(currentCrash());
+    }
+    m_journal.note("worker_refuses",
+                   {{"worker", m_worker->report.workerInstance},
+                    {"runs", std::to_string(m_table.runs().size())},
+                    {"last_answer_ms", millisecondsBetween(m_worker->lastAnswer, m_time.steadyNow())},
+                    {"lease_left_ms", millisecondsBetween(m_time.steadyNow(), m_worker->clock.latestLeaseEnd())},
+                    {"crash_suspected", isSuspected ? "yes" : "no"}});
+}
+
+void run_supervisor::handleRefusedOrder()
+{
+    const bool isNew = !m_worker->refusesConnections;
+    handleRefusedConnection();
+    if (isNew) {
+        renew(milliseconds(0));
+    }
+}
+
+void run_supervisor::handleAnswerAfterRefusal()
+{
+    if (std::exchange(m_worker->refusesConnections, false)) {
+        m_journal.note("worker_reachable", {{"worker", m_worker->report.workerInstance}, {"runs", std::to_string(m_table.runs().size())}});
+    }
+    if (const std::optional<worker_crash> crash = m_suspicion.resolve(m_worker->report.identity())) {
+        m_crashes.handleWorkerCrash(*crash);
+    }
+}
+
+void run_supervisor::discardEndedWorker()
 {
     dropHeldStarts();
-    if (hasCrashed() && !m_table.runs().empty()) {
-        m_crashes.handleWorkerCrash(m_worker->report.workerInstance, m_table.crashedRuns(m_time.steadyNow()));
+    std::optional<worker_crash> crash = m_suspicion.confirm(m_worker->report.identity());
+    if (!crash && wouldBeCrash() && !m_table.runs().empty()) {
+        crash = currentCrash();
+    }
+    if (crash) {
+        m_crashes.handleWorkerCrash(*crash);
     }
-    const bool isRefusal = evidence == worker_reply::connection_refused;
-    discardWorker(run_outcome::worker_lost, isRefusal ? "its host refused the connection" : "another instance answered");
+    discardWorker(run_outcome::worker_lost, "another instance answered");
 }
 
 void run_supervisor::discardWorker(run_outcome outcome, const std::string &reason)
@@ -386,10 +431,10 @@
     booted.clock = response.clock;
     const std::optional<worker_report> reported = m_contenders.takeSuccessor(former.identity());
     const bool hasReported = reported && reported->identity() == booted.identity();
-    const bool hasFormerBootCrashed = hasCrashed();
+    const std::optional<steady_time> crashedAt = formerBootCrashTime();
     registerWorker(hasReported ? *reported : booted, m_worker->fencingToken + 1);
     m_worker->hasReported = hasReported;
-    m_worker->hasFormerBootCrashed = hasFormerBootCrashed;
+    m_worker->formerBootCrashedAt = crashedAt;
     if (m_table.runs().empty()) {
         return;
     }
@@ -402,6 +447,19 @@
     }
 }
 
+std::optional<steady_time> run_supervisor::formerBootCrashTime()
+{
+    const std::optional<worker_crash> suspected = m_suspicion.confirm(m_worker->report.identity());
+    if (!suspected) {
+        return wouldBeCrash() ? std::optional(m_time.steadyNow()) : std::nullopt;
+    }
+    if (m_table.runs().empty()) {
+        // They have ended with the lease.
+        m_crashes.handleWorkerCrash(*suspected);
+    }
+    return suspected->noticedAt;
+}
+
 bool run_supervisor::considerContender(const worker_report &report)
 {
     const contender_verdict verdict = m_contenders.consider(report, m_worker->report, m_worker->lastRenewalNumber + 1);
@@ -411,13 +469,21 @@
     return verdict != contender_verdict::refused;
 }
 
+void run_supervisor::giveWayIfIdle()
+{
+    const bool cannotHaveRuns = m_table.runs().empty() && (!m_worker->hasLease || m_worker->refusesConnections);
+    if (cannotHaveRuns) {
+        giveWay();
+    }
+}
+
 void run_supervisor::giveWay()
 {
     m_contenders.forgetRefused();
     if (m_contenders.hasContender()) {
-        discardWorker(run_outcome::worker_lost, "no answer and no lease, while another instance reports");
+        discardWorker(run_outcome::worker_lost, "no answer and no runs, while another instance reports");
     } else if (m_worker->hasDeparted) {
-        discardWorker(run_outcome::worker_lost, "no answer and no lease after its departure");
+        discardWorker(run_outcome::worker_lost, "no answer and no runs after its departure");
     }
 }
 
@@ -461,11 +527,17 @@
         endRun(found, run_outcome::rejected);
         return;
     case worker_reply::wrong_worker:
-    case worker_reply::connection_refused:
         // This start reached no worker, so its run has crashed none, and those that were sent later have not either.
         m_table.recordRefusedStart(run.startedAt);
         endRun(found, run_outcome::worker_lost);
-        discardEndedWorker(reply);
+        discardEndedWorker();
+        return;
+    case worker_reply::connection_refused:
+        // As above, but the other runs may go on.
+        m_table.recordRefusedStart(run.startedAt);
+        m_suspicion.removeRun(key.task);
+        endRun(found, run_outcome::worker_lost);
+        handleRefusedOrder();
         return;
     case worker_reply::unknown:
         m_worker->lossRecoveryEnd = m_time.steadyNow() + LOSS_RECOVERY_TIME;
@@ -492,6 +564,15 @@
     }
 }
 
+void run_supervisor::repeatStops()
+{
+    for (auto &[key, run] : m_table.runs()) {
+        if (run.state == run_state::stopping && m_time.steadyNow() >= run.nextStopAttempt) {
+            sendStop(key, run);
+        }
+    }
+}
+
 void run_supervisor::sendStop(const run_key &key, supervised_run &run)
 {
     run.state = run_state::stopping;
@@ -506,8 +587,12 @@
     if (!isCurrent(registration)) {
         return;
     }
-    if (reply == worker_reply::wrong_worker || reply == worker_reply::connection_refused) {
-        discardEndedWorker(reply);
+    if (reply == worker_reply::wrong_worker) {
+        discardEndedWorker();
+        return;
+    }
+    if (reply == worker_reply::connection_refused) {
+        handleRefusedOrder();
         return;
     }
     const auto found = m_table.runs().find(key);
@@ -543,14 +628,19 @@
     }
     const std::string workerInstance = m_worker->report.workerInstance;
     --m_worker->pendingRenewals;
-    if (response.reply == worker_reply::wrong_worker || response.reply == worker_reply::connection_refused) {
-        discardEndedWorker(response.reply);
+    if (response.reply == worker_reply::wrong_worker) {
+        discardEndedWorker();
         return;
     }
     if (response.reply == worker_reply::accepted && response.boot != 0 && response.boot != m_worker->report.boot) {
         followReboot(response);
         return;
     }
+    if (response.reply == worker_reply::connection_refused) {
+        handleRefusedConnection();
+        giveWayIfIdle();
+        return;
+    }
     if (response.reply != worker_reply::accepted) {
         m_worker->lossRecoveryEnd = m_time.steadyNow() + LOSS_RECOVERY_TIME;
         m_journal.note("renewal_failed", {{"worker", workerInstance}, {"reply", std::string(workerReplyName(response.reply))}});
@@ -559,13 +649,12 @@
             m_worker->raiseFencingToken();
         }
         releaseHeldStarts(renewalNumber, false);
-        if (!m_worker->hasLease && m_table.runs().empty()) {
-            giveWay();
-        }
+        giveWayIfIdle();
         return;
     }
     m_worker->clock.addSample(response.clock);
     m_worker->lastAnswer = m_time.steadyNow();
+    handleAnswerAfterRefusal();
     m_contenders.recordAcceptedRenewal(renewalNumber, m_worker->report);
     processEndedRuns(response.ended);
     if (renewalNumber > m_worker->newestAnsweredRenewal) {
@@ -629,12 +718,12 @@
     std::vector<crashed_run> lost;
     for (const run_key &key : endedRuns) {
         const supervised_run &run = m_table.runs().at(key);
-        if (run.isOfFormerBoot && m_worker->hasFormerBootCrashed) {
-            lost.push_back(toCrashedRun(key, run, m_time.steadyNow()));
+        if (run.isOfFormerBoot && m_worker->formerBootCrashedAt) {
+            lost.push_back(toCrashedRun(key, run, *m_worker->formerBootCrashedAt));
         }
     }
     if (!lost.empty()) {
-        m_crashes.handleWorkerCrash(m_worker->report.workerInstance, std::move(lost));
+        m_crashes.handleWorkerCrash({m_worker->report.identity(), *m_worker->formerBootCrashedAt, std::move(lost)});
     }
 }
 
@@ -674,8 +763,9 @@
     m_worker->hasLease = false;
     dropHeldStarts();
     m_journal.note("lease_lapsed", {{"worker", m_worker->report.workerInstance}, {"runs", std::to_string(m_table.runs().size())}});
-    // If this process has been paused, it does not know whether the worker would have answered.
-    const bool hasAsked = m_time.steadyNow() < m_worker->lastRenewal + 2 * m_leases.renewalInterval;
+    // If this process has been paused, it does not know whether the worker would have answered. One that refuses connections may be cut
+    // off; whether it has crashed is told by the next answer.
+    const bool hasAsked = m_time.steadyNow() < m_worker->lastRenewal + 2 * m_leases.renewalInterval && !m_worker->refusesConnections;
     while (!m_table.runs().empty()) {
         const supervised_run &run = m_table.runs().begin()->second;
         const bool isSilence = hasAsked && run.state == run_state::running && !run.isOfFormerBoot;
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -12,6 +12,7 @@
 #include "base/decision_journal.h"
 #include "runs/capacity_forecast.h"
 #include "runs/contender_tracker.h"
+#include "runs/crash_suspicion.h"
 #include "runs/held_starts.h"
 #include "runs/run_table.h"
 #include "runs/tracked_worker.h"
@@ -59,10 +60,13 @@
  *
  * A report may arrive after its sender has crashed, so the report of another instance does not show that the current one is gone; nor does
  * the announcement of its departure, which may precede the end of its runs. The current one is asked: it is given up if another instance
- * answers, if its host refuses the connection, or at the end of its lease.
+ * answers, or at the end of its lease.
  *
- * A worker that answered until another instance or boot answers in its place, or until its host refuses the connection, has crashed, unless
- * it was draining or had announced its departure. A lapsed lease does not show a crash.
+ * A refused connection, or one that is reset, does not show either that the runs have ended: the worker may be cut off and run on. The
+ * worker gets no more runs until it answers again, and those that it has are over when another instance or boot answers, or with the lease.
+ *
+ * A worker has crashed if another instance or boot answers in its place, and it had answered until then or until its connections were
+ * refused, unless it was draining or had announced its departure. Neither a lapsed lease nor a refused connection alone shows a crash.
  */
 class run_supervisor
 {
@@ -134,14 +138,28 @@
     /// Turns to another boot of the current worker, which has answered under the same identifier. Starts that were sent to the former boot
     /// may have reached the new one, so each run goes on until the new boot, asked with a higher fencing token, does not list it.
     void followReboot(const lease_response &response);
+    /// Returns when the current worker, in whose place another boot has answered, was seen to crash, or nothing if it did not crash.
+    /// Reports the runs that have been lost with it if their results have been reported.
+    std::optional<steady_time> formerBootCrashTime();
     /// Handles a report of a worker other than the current one. Returns false if it is refused.
     bool considerContender(const worker_report &report);
-    /// Gives up a worker that has no lease and does not answer, if there is a contender to take its place or its departure was announced.
+    /// Calls giveWay() for a worker that does not answer if it cannot have runs.
+    void giveWayIfIdle();
+    /// Gives up a worker that cannot have runs and does not answer, if there is a contender to take its place or its departure was
+    /// announced.
     void giveWay();
-    /// Returns whether the current worker, whose runs are known to be over, has crashed: it answered recently, and its end was not planned.
-    bool hasCrashed() const;
-    /// Gives the worker up, because another instance answered or its host refused the connection. Reports a crash if it was one.
-    void discardEndedWorker(worker_reply evidence);
+    /// Returns whether the current worker, if it is gone, has crashed: it answered recently, and its end was not planned.
+    bool wouldBeCrash() const;
+    /// Returns the crash of the current worker that is noticed now.
+    worker_crash currentCrash() const;
+    /// Sends no more runs to the worker until it answers again, because a connection to it was refused. Suspects a crash.
+    void handleRefusedConnection();
+    /// Like handleRefusedConnection(), for a refused start or stop: asks the worker at once whether it is there.
+    void handleRefusedOrder();
+    /// Uses a worker again that has answered after its connections were refused, and decides whether another one had crashed before.
+    void handleAnswerAfterRefusal();
+    /// Gives the worker up, because another instance answered. Reports a crash if it was one.
+    void discardEndedWorker();
     /// Gives the worker up, because its runs cannot go on, and turns to the contender, if there is one.
     void discardWorker(run_outcome outcome, const std::string &reason);
     /// Returns whether the registration is that of the current worker.
@@ -154,6 +172,8 @@
     void handleStartReply(std::uint64_t registration, const run_key &key, worker_reply reply, worker_milliseconds clock);
     void handleStopReply(std::uint64_t registration, const run_key &key, worker_reply reply);
     void sendStop(const run_key &key, supervised_run &run);
+    /// Repeats the stops that are due.
+    void repeatStops();
     /// Sends a renewal. The worker may hold back its answer for up to `wait` until a run ends.
     void renew(milliseconds wait);
     void handleLeaseResponse(std::uint64_t registration, std::uint64_t renewalNumber, const lease_response &response);
@@ -182,6 +202,7 @@
     decision_journal &m_journal;
     std::unique_ptr<tracked_worker> m_worker;
     contender_tracker m_contenders;
+    crash_suspicion m_suspicion;
     /// Number of the last registration of a worker. An instance that was given up can be registered again.
     std::uint64_t m_lastRegistration = 0;
     run_table m_table;
--- a/src/runs/tracked_worker.h
+++ b/src/runs/tracked_worker.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "runs/worker_client.h"
 #include "runs/worker_clock.h"
@@ -30,8 +31,11 @@
     bool hasReported = true;
     /// The worker's departure was announced, and it has not reported since.
     bool hasDeparted = false;
-    /// The worker is another boot of one that crashed, and has taken its place under the same identifier.
-    bool hasFormerBootCrashed = false;
+    /// When the crash of the former boot was noticed, if the worker is another boot of one that crashed, and has taken its place under the
+    /// same identifier.
+    std::optional<steady_time> formerBootCrashedAt;
+    /// A connection was refused since the last answer. The worker may be down, or cut off and running on.
+    bool refusesConnections = false;
     /// Until when the worker is slow after its start.
     steady_time coldUntil{};
     /// A renewal was answered since the instance was registered or the lease last expired.
--- a/src/runs/worker_client.h
+++ b/src/runs/worker_client.h
@@ -78,7 +78,8 @@
     unhealthy,
     /// Another instance of the worker answered.
     wrong_worker,
-    /// The worker's host refused the connection, so the worker is down.
+    /// The connection was refused, so this request is not carried out. Says nothing about earlier requests: the worker may be down, or cut
+    /// off and running on.
     connection_refused,
     /// Nothing of the request was sent, so it is not carried out. Says nothing about the worker, nor about earlier requests.
     not_sent,
--- a/src/runs/worker_crash_listener.h
+++ b/src/runs/worker_crash_listener.h
@@ -1,23 +1,32 @@
 #ifndef AZUREMOOR_RUNS_WORKER_CRASH_LISTENER_H
 #define AZUREMOOR_RUNS_WORKER_CRASH_LISTENER_H
 
-#include <string>
 #include <vector>
 
 #include "messages/crash_messages.h"
+#include "runs/worker_client.h"
 
 namespace azuremoor
 {
 
+/// Crash of a worker, with the runs that were ordered and may have been under way, also those that were being stopped.
+struct worker_crash {
+    worker_identity worker;
+    /// When the worker was first seen to be gone. Its crash may have been proved later.
+    steady_time noticedAt;
+    /// Their ages are as of `noticedAt`.
+    std::vector<crashed_run> runs;
+};
+
 /// Receives the crashes of workers.
 class worker_crash_listener
 {
 public:
     virtual ~worker_crash_listener() = default;
 
-    /// Handles the crash of a worker instance. The runs were ordered and may have been under way, also those that were being stopped.
-    /// Called before their results are reported, and only if there are any.
-    virtual void handleWorkerCrash(const std::string &workerInstance, std::vector<crashed_run> runs) = 0;
+    /// Handles a crash, once it is proved, and only if there were runs. Called before their results are reported, unless these had to be
+    /// reported with the end of the worker's lease, before the proof.
+    virtual void handleWorkerCrash(const worker_crash &crash) = 0;
 };
 
 }
