The deadline of a request that reached no worker does not extend its lease

What callers saw: after a crash, or behind a cut, a job's tasks waited up to 120 ms longer than they had to before they were started elsewhere.

The clock of a worker now keeps the deadlines of requests under way apart, and drops those of requests that have certainly not arrived. Tests: worker_clock_test "the deadline of a request counts while it is under way..." (new functions), and refused_worker_test "the lease of a worker that refuses connections...", which fails for requests that are not sent if every request counts as one that may have arrived.

--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -156,11 +156,13 @@
     run.isStartSent = true;
     run.startedAt = m_time.steadyNow();
     run.startDeadline = m_worker->clock.now() + m_leases.workerLease.count();
-    m_worker->clock.extendLease(run.startDeadline);
+    m_worker->clock.beginRequest(run.startDeadline);
     const run_key key{order.task, order.number};
     const std::uint64_t registration = m_worker->registration;
+    const worker_milliseconds deadline = run.startDeadline;
     m_client.startRun(
-        m_worker->context(), order, run.startDeadline, [this, registration, key](worker_reply reply, worker_milliseconds clock) {
+        m_worker->context(), order, deadline, [this, registration, key, deadline](worker_reply reply, worker_milliseconds clock) {
+            endRequest(registration, deadline, reply);
             handleStartReply(registration, key, reply, clock);
         });
 }
@@ -608,17 +610,26 @@
     // The lease is not extended for a worker that is unresponsive or runs tasks that this process did not order, so that these runs end at
     // a known time.
     const bool isExtended = isReady();
-    request.deadline = isExtended ? m_worker->clock.now() + m_leases.workerLease.count() : m_worker->clock.leaseEnd();
+    request.deadline = isExtended ? m_worker->clock.now() + m_leases.workerLease.count() : m_worker->clock.receivedLeaseEnd();
     request.acknowledgedEnd = m_worker->acknowledgedEnd;
     request.wait = wait;
-    m_worker->clock.extendLease(request.deadline);
+    m_worker->clock.beginRequest(request.deadline);
     m_worker->lastRenewal = m_time.steadyNow();
     ++m_worker->pendingRenewals;
     const std::uint64_t renewalNumber = ++m_worker->lastRenewalNumber;
     const std::uint64_t registration = m_worker->registration;
-    m_client.renewLease(m_worker->context(), request, [this, registration, renewalNumber](const lease_response &response) {
-        handleLeaseResponse(registration, renewalNumber, response);
-    });
+    m_client.renewLease(
+        m_worker->context(), request, [this, registration, renewalNumber, deadline = request.deadline](const lease_response &response) {
+            endRequest(registration, deadline, response.reply);
+            handleLeaseResponse(registration, renewalNumber, response);
+        });
+}
+
+void run_supervisor::endRequest(std::uint64_t registration, worker_milliseconds deadline, worker_reply reply)
+{
+    if (isCurrent(registration)) {
+        m_worker->clock.endRequest(deadline, mayHaveArrived(reply));
+    }
 }
 
 void run_supervisor::handleLeaseResponse(std::uint64_t registration, std::uint64_t renewalNumber, const lease_response &response)
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -176,6 +176,8 @@
     void repeatStops();
     /// Sends a renewal. The worker may hold back its answer for up to `wait` until a run ends.
     void renew(milliseconds wait);
+    /// Ends a request that carried the deadline, so that the deadline of one that has reached no worker does not count.
+    void endRequest(std::uint64_t registration, worker_milliseconds deadline, worker_reply reply);
     void handleLeaseResponse(std::uint64_t registration, std::uint64_t renewalNumber, const lease_response &response);
     void processEndedRuns(const std::vector<ended_run> &endedRuns);
     /// Ends the runs that a renewal's answer proves to be over or unable to begin.
--- a/src/runs/tests/refused_worker_test.cpp
+++ b/src/runs/tests/refused_worker_test.cpp
@@ -96,6 +96,27 @@
     CHECK(crashes.empty());
 }
 
+/// Guards against tasks that wait for the end of a lease which their worker never got.
+TEST_CASE("the lease of a worker that refuses connections ends with the last deadline that can have reached it")
+{
+    for (const fake_worker::order_delivery trouble : {fake_worker::order_delivery::refused, fake_worker::order_delivery::unsent}) {
+        CAPTURE(trouble == fake_worker::order_delivery::refused);
+        supervisor_fixture test;
+        test.order(1, "job.0.0.0");
+        test.run(milliseconds(50));
+        // The agent gets no processor time.
+        test.time.run(milliseconds(150));
+        test.worker.renewalDelivery = trouble;
+        while (!test.worker.active().empty()) {
+            test.run(milliseconds(25));
+        }
+        // What the slowest clock may add, and the allowance for the end of a run.
+        test.run(withClockTolerance(test.leases.workerLease) - test.leases.workerLease + milliseconds(75));
+        CHECK(test.hasResult(1));
+        CHECK(test.activeRunAtResult == run_key{});
+    }
+}
+
 /// Guards against runs that are given up, or go on beside their copies, although their worker is only cut off for a moment.
 TEST_CASE_FIXTURE(refused_worker_fixture, "runs go on through short cuts that refuse connections")
 {
--- a/src/runs/tests/worker_clock_test.cpp
+++ b/src/runs/tests/worker_clock_test.cpp
@@ -27,3 +27,26 @@
     CHECK(clock.latestLeaseEnd() - time.steadyNow() >= milliseconds(1020));
     CHECK(clock.latestLeaseEnd() - time.steadyNow() <= milliseconds(1022));
 }
+
+/// Guards against a lease that counts from a request which has reached no worker.
+TEST_CASE("the deadline of a request counts while it is under way, and after it only if it may have arrived")
+{
+    testing::virtual_time time;
+    worker_clock clock(time, 5000);
+    clock.beginRequest(6000);
+    clock.beginRequest(6200);
+    clock.beginRequest(6200);
+    CHECK(clock.leaseEnd() == 6200);
+    CHECK(clock.receivedLeaseEnd() == 0);
+    clock.endRequest(6200, false);
+    CHECK(clock.leaseEnd() == 6200);
+    clock.endRequest(6200, false);
+    CHECK(clock.leaseEnd() == 6000);
+    clock.endRequest(6000, true);
+    CHECK(clock.leaseEnd() == 6000);
+    CHECK(clock.receivedLeaseEnd() == 6000);
+    clock.beginRequest(5500);
+    clock.endRequest(5500, true);
+    CHECK(clock.leaseEnd() == 6000);
+    CHECK(clock.latestLeaseEnd() - time.steadyNow() >= milliseconds(1020));
+}
--- a/src/runs/worker_client.h
+++ b/src/runs/worker_client.h
@@ -90,6 +90,12 @@
 /// Returns the name of the reply, for logs.
 std::string_view workerReplyName(worker_reply reply);
 
+/// Returns whether a request with this reply may have reached a worker, now or later.
+constexpr bool mayHaveArrived(worker_reply reply)
+{
+    return reply != worker_reply::connection_refused && reply != worker_reply::not_sent;
+}
+
 /// Identifies the worker instance that a request is meant for, and the agent process that sends it.
 struct request_context {
     std::string workerInstance;
--- a/src/runs/worker_clock.cpp
+++ b/src/runs/worker_clock.cpp
@@ -35,14 +35,34 @@
     m_leaseEnd = std::max(m_leaseEnd, deadline);
 }
 
+void worker_clock::beginRequest(worker_milliseconds deadline)
+{
+    m_deadlinesUnderWay.insert(deadline);
+}
+
+void worker_clock::endRequest(worker_milliseconds deadline, bool mayHaveArrived)
+{
+    if (const auto found = m_deadlinesUnderWay.find(deadline); found != m_deadlinesUnderWay.end()) {
+        m_deadlinesUnderWay.erase(found);
+    }
+    if (mayHaveArrived) {
+        extendLease(deadline);
+    }
+}
+
 worker_milliseconds worker_clock::leaseEnd() const
+{
+    return m_deadlinesUnderWay.empty() ? m_leaseEnd : std::max(m_leaseEnd, *m_deadlinesUnderWay.rbegin());
+}
+
+worker_milliseconds worker_clock::receivedLeaseEnd() const
 {
     return m_leaseEnd;
 }
 
 steady_time worker_clock::latestLeaseEnd() const
 {
-    return m_sampledAt + withClockTolerance(std::max(milliseconds(m_leaseEnd - m_sample), milliseconds(0)));
+    return m_sampledAt + withClockTolerance(std::max(milliseconds(leaseEnd() - m_sample), milliseconds(0)));
 }
 
 }
--- a/src/runs/worker_clock.h
+++ b/src/runs/worker_clock.h
@@ -1,6 +1,8 @@
 #ifndef AZUREMOOR_RUNS_WORKER_CLOCK_H
 #define AZUREMOOR_RUNS_WORKER_CLOCK_H
 
+#include <set>
+
 #include "runs/worker_client.h"
 
 namespace azuremoor
@@ -27,12 +29,21 @@
     /// sample makes the estimate lower, and a slow clock makes it higher.
     worker_milliseconds now() const;
 
-    /// Extends the lease to the deadline of a start or a renewal. Earlier deadlines have no effect.
+    /// Extends the lease to a deadline that the worker may have received. Earlier deadlines have no effect.
     void extendLease(worker_milliseconds deadline);
 
+    /// Extends the lease to the deadline of a request that is sent, until endRequest() is called with the same deadline.
+    void beginRequest(worker_milliseconds deadline);
+
+    /// Ends a request. If it has certainly not reached the worker, its deadline extends the lease no longer.
+    void endRequest(worker_milliseconds deadline, bool mayHaveArrived);
+
     /// Returns the end of the lease on the worker's clock, which is the latest deadline.
     worker_milliseconds leaseEnd() const;
 
+    /// Returns the latest deadline without those of requests under way. A request with this one extends the lease at no worker that has it.
+    worker_milliseconds receivedLeaseEnd() const;
+
     /// Returns the local time at which the lease has certainly ended, even if the clock is slow within the tolerance.
     steady_time latestLeaseEnd() const;
 
@@ -40,7 +51,9 @@
     const time_source &m_time;
     worker_milliseconds m_sample;
     steady_time m_sampledAt;
+    /// Latest deadline of the requests that may have reached the worker, without those that are under way.
     worker_milliseconds m_leaseEnd = 0;
+    std::multiset<worker_milliseconds> m_deadlinesUnderWay;
 };
 
 }
