A suspected crash is told at once, and proved or withdrawn later

The proof of a crash comes with the next boot, 3 s after it; until then each task that crashes its worker was started again like any other, beside others, and its queue was free.

Agents now report a crash in three states: suspected with the first refusal, proved when another instance or boot answers, withdrawn when the same one does. Entries keep the crashes of each job apart (crash_ledger) and judge it twice. All crashes decide what can be taken back: a job is set apart, held (not started until more is known) where it would be given up, and its queue contained. Proved crashes alone decide that its caller is told that it has failed. A withdrawn crash takes all of it back, the containment of the queue included.

A job is held for two workers in a row under one task at least, soon after the start, and the second start comes only after the lease of the first worker has ended with nothing back.

Protocol version 5, as reports have a new field.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -16,11 +16,6 @@
 
 }
 
-crash_evidence::crash_evidence(std::string_view queue)
-    : m_queue(queue)
-{
-}
-
 void crash_evidence::addCrash(const std::vector<lost_run> &runs, bool isSoon, bool isAlone)
 {
     const lost_run *latestBegun = nullptr;
@@ -93,11 +88,6 @@
     return m_lastCrashAt;
 }
 
-const std::string &crash_evidence::queue() const
-{
-    return m_queue;
-}
-
 void crash_evidence::countUnderTask(std::uint64_t task, start_evidence start)
 {
     if (m_crashesByTask.size() >= MAX_TASKS && !m_crashesByTask.contains(task)) {
--- a/src/dispatch/crash_evidence.h
+++ b/src/dispatch/crash_evidence.h
@@ -32,8 +32,6 @@
 class crash_evidence
 {
 public:
-    explicit crash_evidence(std::string_view queue);
-
     /// Adds the job's runs that were lost in one crash. There must be at least one. Crashes may be added in any order, each one once. If
     /// no run is known to have begun, the crash only counts as a possible one under its tasks.
     /// The crash is soon if it came so soon after the start of a run of the job that this run may be the cause, since tasks that crash
@@ -61,8 +59,6 @@
 
     steady_time lastCrashAt() const;
 
-    const std::string &queue() const;
-
 private:
     /// Time from the latest order to the worker until it crashed.
     struct interval {
@@ -82,7 +78,6 @@
     void countUnderTask(std::uint64_t task, start_evidence start);
     std::size_t mostUnderOneTask(std::size_t task_crashes::*count) const;
 
-    std::string m_queue;
     /// By the time of the crash. None contains another one, so that they are in the order of their beginnings too.
     std::vector<interval> m_intervals;
     /// Crashes by the hash of the task's name.
--- a/src/dispatch/crash_guard.cpp
+++ b/src/dispatch/crash_guard.cpp
@@ -44,12 +44,15 @@
     m_nextServicesUpdate = {};
     updateServices();
     if (const auto service = m_services.find(agent); service != m_services.end()) {
-        for (const std::string &queue : findings.givenUpQueues) {
+        for (const std::string &queue : findings.stoppedQueues) {
             m_containment.recordGivenUp(queue, service->second);
         }
     }
+    for (const std::string &queue : findings.releasedQueues) {
+        m_containment.recordReleased(queue);
+    }
     for (const crashed_run &run : report.runs) {
-        if (hadBegun(run.start)) {
+        if (report.state == crash_state::proved && hadBegun(run.start)) {
             m_containment.recordCrash(run.queue, findings.noticedAt);
         }
     }
@@ -124,9 +127,10 @@
     }
     // Sound queues use the workers that are set apart when no others are left.
     const bool isSplit = containing != m_containingAgents.end() && (isContained || hasOtherWorkers(job.matchedRoute.service));
+    const bool isStopped = verdict == crash_verdict::held || verdict == crash_verdict::given_up;
     for (const auto &[agent, worker] : m_pool.workers()) {
         const bool isElsewhere = isSplit && containing->second.contains(agent) != isContained;
-        if (isElsewhere || verdict == crash_verdict::given_up || (isContained && hasOtherRun(worker, job, run_kind::suspect))) {
+        if (isElsewhere || isStopped || (isContained && hasOtherRun(worker, job, run_kind::suspect))) {
             agents.insert(agent);
         }
     }
--- a/src/dispatch/crash_guard.h
+++ b/src/dispatch/crash_guard.h
@@ -18,9 +18,10 @@
 /**
  * Keeps jobs that crash their workers from worker after worker.
  *
- * A job that is given up fails. A suspect one runs apart from other suspect ones, on an idle worker if there is one, its tasks on as few
- * workers as they fit on, so that a further crash shows which job is to blame and costs one worker. The jobs of contained queues run on a
- * part of the workers, few at once, a suspect one alone on its worker, and the other jobs on the other workers.
+ * A job that is given up fails, and one that is held waits for what becomes known of the workers. A suspect one runs apart from other
+ * suspect ones, on an idle worker if there is one, its tasks on as few workers as they fit on, so that a further crash shows which job is
+ * to blame and costs one worker. The jobs of contained queues run on a part of the workers, few at once, a suspect one alone on its worker,
+ * and the other jobs on the other workers.
  */
 class crash_guard
 {
--- a/src/dispatch/queue_containment.cpp
+++ b/src/dispatch/queue_containment.cpp
@@ -74,6 +74,20 @@
                     {"within_ms", std::to_string((now - state.givenUpAt.front()) / milliseconds(1))}});
 }
 
+void queue_containment::recordReleased(std::string_view queue)
+{
+    const auto found = m_queues.find(queue);
+    if (found == m_queues.end() || found->second.givenUpAt.empty()) {
+        return;
+    }
+    queue_state &state = found->second;
+    state.givenUpAt.pop_back();
+    if (state.isContained) {
+        noteRelease(found->first, state);
+        state.isContained = false;
+    }
+}
+
 bool queue_containment::learnService(std::string_view queue, std::string_view service)
 {
     const auto found = m_queues.find(queue);
@@ -100,16 +114,22 @@
             return false;
         }
         if (state.isContained) {
-            m_journal.note("queue_released",
-                           {{"queue", queue},
-                            {"service", state.service},
-                            {"contained_ms", std::to_string((now - state.since) / milliseconds(1))},
-                            {"quiet_ms", std::to_string((now - state.lastCrashAt) / milliseconds(1))}});
+            noteRelease(queue, state);
         }
         return true;
     });
 }
 
+void queue_containment::noteRelease(const std::string &queue, const queue_state &state)
+{
+    const steady_time now = m_time.steadyNow();
+    m_journal.note("queue_released",
+                   {{"queue", queue},
+                    {"service", state.service},
+                    {"contained_ms", std::to_string((now - state.since) / milliseconds(1))},
+                    {"quiet_ms", std::to_string((now - state.lastCrashAt) / milliseconds(1))}});
+}
+
 bool queue_containment::isContained(std::string_view queue) const
 {
     const auto found = m_queues.find(queue);
--- a/src/dispatch/queue_containment.h
+++ b/src/dispatch/queue_containment.h
@@ -49,9 +49,13 @@
 
     queue_containment(const time_source &time, decision_journal &journal);
 
-    /// Records that a job of the queue was given up, after a crash of a worker of the service; empty if that is not known.
+    /// Records that a job of the queue was held or given up, after a crash of a worker of the service; empty if that is not known.
     void recordGivenUp(std::string_view queue, std::string_view service);
 
+    /// Records that a job of the queue is no longer held, because the workers have not crashed. The queue is released if it was contained
+    /// for that.
+    void recordReleased(std::string_view queue);
+
     /// Sets the service that runs the queue's jobs if it was not known. Returns whether that is new of a contained queue.
     bool learnService(std::string_view queue, std::string_view service);
 
@@ -72,6 +76,9 @@
     std::vector<contained_queue> rows() const;
 
 private:
+    struct queue_state;
+    void noteRelease(const std::string &queue, const queue_state &state);
+
     struct queue_state {
         std::string service;
         /// When the latest jobs were given up, at most CONTAINMENT_JOBS.
--- a/src/dispatch/tests/crash_fleet.cpp
+++ b/src/dispatch/tests/crash_fleet.cpp
@@ -198,25 +198,43 @@
     if (m_crashesByTask[order.task] >= CRASH_BUDGET) {
         m_startsOverBudget.insert(order.task);
     }
+    if (isAtWorkElsewhere(order.task, agent)) {
+        m_startsBesideRuns.insert(order.task);
+    }
     agentsByQueue[order.queue].insert(agent.name);
     const task_behaviour &behaviour = m_behaviours.at(jobOf(order.task));
     const start_evidence unconfirmed = order.isWorkerAskedFirst ? start_evidence::asked : start_evidence::none;
     const start_evidence evidence = behaviour.isConfirmed ? start_evidence::confirmed : unconfirmed;
     agent.runs.push_back({from, order.sequence, order.task, order.queue, time.steadyNow(), false, evidence});
+    if (const auto cut = m_cutsByTask.find(order.task); cut != m_cutsByTask.end() && cut->second.times > 0) {
+        --cut->second.times;
+        const auto number = static_cast<std::size_t>(&agent - m_agents.data());
+        time.after(milliseconds(20), [this, number, duration = cut->second.duration] { cutOff(number, duration); });
+    }
     const bool isDeadly = behaviour.crashesAfter > milliseconds(0);
     time.after(isDeadly ? behaviour.crashesAfter : behaviour.duration,
                [this, &agent, from, sequence = order.sequence, instance = agent.instance, isDeadly] {
-                   const bool isAtWork = agent.isUp && agent.instance == instance
-                       && std::ranges::any_of(agent.runs,
-                                              [&](const active_run &run) { return run.entry == from && run.sequence == sequence; });
-                   if (isAtWork && isDeadly) {
-                       crash(agent);
-                   } else if (isAtWork) {
-                       endRun(agent, from, sequence, run_outcome::done);
-                   }
+                   completeRun(agent, from, sequence, instance, isDeadly);
                });
 }
 
+void crash_fleet::completeRun(agent_state &agent, std::size_t from, std::uint64_t sequence, std::uint64_t instance, bool isDeadly)
+{
+    const bool isAtWork = agent.isUp && agent.instance == instance
+        && std::ranges::any_of(agent.runs, [&](const active_run &run) { return run.entry == from && run.sequence == sequence; });
+    if (!isAtWork) {
+        return;
+    }
+    if (isDeadly) {
+        crash(agent);
+    } else if (agent.isCutOff) {
+        // The agent learns of the end when it reaches the worker, if the lease has not ended by then.
+        time.after(milliseconds(5), [this, &agent, from, sequence, instance] { completeRun(agent, from, sequence, instance, false); });
+    } else {
+        endRun(agent, from, sequence, run_outcome::done);
+    }
+}
+
 void crash_fleet::endRun(agent_state &agent, std::size_t from, std::uint64_t sequence, run_outcome outcome)
 {
     const std::size_t ended
@@ -238,11 +256,13 @@
         ++m_crashesByTask[run.task];
     }
     if (noticeDelay > milliseconds(0)) {
-        time.after(noticeDelay, [this, &agent] { noticeCrash(agent); });
+        time.after(noticeDelay, [this, &agent] { noticeRefusal(agent); });
     } else {
-        noticeCrash(agent);
+        noticeRefusal(agent);
     }
     time.after(returnTime, [this, &agent] {
+        settleSuspicion(agent, crash_state::proved);
+        endLease(agent, agent.instance);
         agent.isUp = true;
         agent.isKnownDown = false;
         ++agent.instance;
@@ -250,29 +270,111 @@
     });
 }
 
-void crash_fleet::noticeCrash(agent_state &agent)
+void crash_fleet::cutOff(std::size_t worker, milliseconds duration)
+{
+    agent_state &agent = m_agents[worker];
+    if (!agent.isUp || agent.isCutOff) {
+        return;
+    }
+    agent.isCutOff = true;
+    noticeRefusal(agent);
+    time.after(duration, [this, &agent] {
+        agent.isCutOff = false;
+        agent.isKnownDown = false;
+        settleSuspicion(agent, crash_state::withdrawn);
+        sendStatus(agent);
+    });
+}
+
+void crash_fleet::cutOffUnder(const std::string &task, milliseconds duration, int times)
+{
+    m_cutsByTask[task] = {duration, times};
+}
+
+bool crash_fleet::isContained(const std::string &queue) const
+{
+    return std::ranges::any_of(m_entries, [&queue](const auto &each) { return each->guard.containment().isContained(queue); });
+}
+
+void crash_fleet::noticeRefusal(agent_state &agent)
 {
     agent.isKnownDown = true;
-    crash_report report{agent.name + '-' + std::to_string(agent.instance), 0, {}};
+    crash_report report{agent.name + '-' + std::to_string(m_crashes.size()), crash_state::suspected, 0, {}};
+    for (const active_run &run : agent.runs) {
+        if (!run.isHeld) {
+            const auto age = std::chrono::duration_cast<milliseconds>(time.steadyNow() - run.startedAt);
+            report.runs.push_back({run.task, run.queue, static_cast<std::uint32_t>(age.count()), run.evidence});
+        }
+    }
     for (const active_run &run : agent.runs) {
         if (run.isHeld) {
-            continue;
+            sendResult(agent, run.entry, run.sequence, run_outcome::closed);
+        }
+    }
+    std::erase_if(agent.runs, &active_run::isHeld);
+    m_crashes.push_back({agent.name, report, time.steadyNow(), agent.instance});
+    sendReport(m_crashes.back());
+    time.after(leaseTime, [this, &agent, instance = agent.instance] {
+        if (agent.instance == instance && agent.isKnownDown) {
+            endLease(agent, instance);
+        }
+    });
+    sendStatus(agent);
+}
+
+void crash_fleet::settleSuspicion(agent_state &agent, crash_state state)
+{
+    for (noticed_crash &crash : m_crashes) {
+        if (crash.agent == agent.name && crash.instance == agent.instance && crash.report.state == crash_state::suspected) {
+            crash.report.state = state;
+            sendReport(crash);
         }
-        const auto age = std::chrono::duration_cast<milliseconds>(time.steadyNow() - run.startedAt);
-        report.runs.push_back({run.task, run.queue, static_cast<std::uint32_t>(age.count()), run.evidence});
     }
-    m_crashes.push_back({agent.name, report, time.steadyNow()});
+}
+
+void crash_fleet::sendReport(const noticed_crash &crash)
+{
+    crash_report report = crash.report;
+    const auto age = std::chrono::duration_cast<milliseconds>(time.steadyNow() - crash.at);
+    report.ageMilliseconds = static_cast<std::uint32_t>(age.count());
     for (const std::unique_ptr<entry_process> &each : m_entries) {
-        time.after(MESSAGE_DELAY, [&each, name = agent.name, report] {
+        time.after(MESSAGE_DELAY, [&each, name = crash.agent, report] {
             if (each->isAlive) {
                 each->guard.recordCrash(name, report);
             }
         });
     }
+}
+
+void crash_fleet::endLease(agent_state &agent, std::uint64_t instance)
+{
+    if (agent.instance != instance) {
+        return;
+    }
     for (const active_run &run : std::exchange(agent.runs, {})) {
-        sendResult(agent, run.entry, run.sequence, run.isHeld ? run_outcome::closed : run_outcome::worker_lost);
+        sendResult(agent, run.entry, run.sequence, run_outcome::lapsed);
     }
-    sendStatus(agent);
+}
+
+bool crash_fleet::isAtWorkElsewhere(const std::string &task, const agent_state &agent) const
+{
+    return std::ranges::any_of(m_agents, [&](const agent_state &other) {
+        return &other != &agent && other.isUp && std::ranges::find(other.runs, task, &active_run::task) != other.runs.end();
+    });
+}
+
+const std::set<std::string> &crash_fleet::startsBesideRuns() const
+{
+    return m_startsBesideRuns;
+}
+
+std::uint64_t crash_fleet::containments() const
+{
+    std::uint64_t count = 0;
+    for (const std::unique_ptr<entry_process> &each : m_entries) {
+        count += each->guard.containment().containments();
+    }
+    return count;
 }
 
 void crash_fleet::sendResult(agent_state &agent, std::size_t to, std::uint64_t sequence, run_outcome outcome)
--- a/src/dispatch/tests/crash_fleet.h
+++ b/src/dispatch/tests/crash_fleet.h
@@ -25,7 +25,9 @@
 };
 
 /// Entries that share workers, and tasks that crash them. Messages take a fixed time; a crashed worker is back after some seconds. An agent
-/// reports a crash to all entries when it notices it, before the results of the lost runs.
+/// tells all entries that it suspects a crash when it notices that its worker refuses connections. It reports the results of the lost runs
+/// with the end of the worker's lease, and the crash as proved when another instance of the worker is back. A worker can also be cut off,
+/// and come back with its instance: then the suspicion is withdrawn.
 class crash_fleet
 {
 public:
@@ -43,6 +45,12 @@
     /// order that arrives before that is passed on to nobody, or held if it asks the worker first.
     void crashWorkers(std::size_t count, milliseconds noticeInterval);
 
+    /// Cuts the worker off with its connections refused, for a time. Its runs go on, and end with its lease if they are longer than that.
+    void cutOff(std::size_t worker, milliseconds duration);
+
+    /// Cuts off each worker that starts the task soon after the start, for a time. Does so for the next starts, as many as given.
+    void cutOffUnder(const std::string &task, milliseconds duration, int times);
+
     /// Lets the entry vanish, with what it knows. Its runs go on, and their results reach nobody.
     void killEntry(std::size_t entry);
 
@@ -63,10 +71,21 @@
     /// Returns the tasks that were started after three workers had crashed under them.
     const std::set<std::string> &startsOverBudget() const;
 
+    /// Returns the tasks of which two runs were at work at the same time.
+    const std::set<std::string> &startsBesideRuns() const;
+
+    /// Returns how often entries have contained a queue.
+    std::uint64_t containments() const;
+
+    /// Returns whether an entry contains the queue now.
+    bool isContained(const std::string &queue) const;
+
     virtual_time time;
     decision_journal journal;
     /// Time until a crashed worker is back.
     milliseconds returnTime{3200};
+    /// Time from the crash or the cut of a worker until its lease has certainly ended.
+    milliseconds leaseTime{640};
     /// Agents of all starts, by queue.
     std::map<std::string, std::set<std::string>> agentsByQueue;
 
@@ -76,6 +95,12 @@
         std::string agent;
         crash_report report;
         steady_time at;
+        std::uint64_t instance = 0;
+    };
+    /// Cuts of the workers that start a task.
+    struct cut_plan {
+        milliseconds duration{0};
+        int times = 0;
     };
     struct active_run {
         std::size_t entry = 0;
@@ -90,8 +115,10 @@
     struct agent_state {
         std::string name;
         bool isUp = true;
-        /// The worker is down, and the agent knows it.
+        /// The agent knows that the worker refuses connections.
         bool isKnownDown = false;
+        /// The worker refuses connections and runs on.
+        bool isCutOff = false;
         std::uint64_t instance = 1;
         std::vector<active_run> runs;
         /// Latest order and number of results, by entry.
@@ -101,10 +128,18 @@
 
     void receive(std::size_t from, agent_state &agent, const message &value);
     void start(std::size_t from, agent_state &agent, const std::string &worker, const run_order &order);
+    /// Ends a run that has come to its end, by itself or with a crash.
+    void completeRun(agent_state &agent, std::size_t from, std::uint64_t sequence, std::uint64_t instance, bool isDeadly);
     void endRun(agent_state &agent, std::size_t from, std::uint64_t sequence, run_outcome outcome);
     /// Crashes the worker, and lets its agent notice after the delay.
     void crash(agent_state &agent, milliseconds noticeDelay = milliseconds(0));
-    void noticeCrash(agent_state &agent);
+    void noticeRefusal(agent_state &agent);
+    /// Tells the entries what has become known of the crash that the agent suspects, if it does.
+    void settleSuspicion(agent_state &agent, crash_state state);
+    void sendReport(const noticed_crash &crash);
+    /// Reports the runs that the worker had when its agent noticed the refusal, and has not ended since.
+    void endLease(agent_state &agent, std::uint64_t instance);
+    bool isAtWorkElsewhere(const std::string &task, const agent_state &agent) const;
     void sendResult(agent_state &agent, std::size_t to, std::uint64_t sequence, run_outcome outcome);
     void sendStatus(agent_state &agent);
     void tick();
@@ -119,6 +154,8 @@
     std::map<std::string, std::set<std::string>> m_crashesByJob;
     std::map<std::string, std::size_t> m_crashesByTask;
     std::set<std::string> m_startsOverBudget;
+    std::set<std::string> m_startsBesideRuns;
+    std::map<std::string, cut_plan> m_cutsByTask;
     std::uint64_t m_nextRequest = 1;
 };
 
--- a/src/dispatch/tests/crash_ledger_test.cpp
+++ b/src/dispatch/tests/crash_ledger_test.cpp
@@ -26,7 +26,7 @@
 
     crash_findings crash(const std::vector<std::string> &tasks, std::uint32_t age = SOON, start_evidence start = start_evidence::confirmed)
     {
-        crash_report report{"crash" + std::to_string(++crashes), 0, {}};
+        crash_report report{"crash" + std::to_string(++crashes), crash_state::proved, 0, {}};
         for (const std::string &task : tasks) {
             report.runs.push_back({task, "queue", age, start});
         }
@@ -53,7 +53,7 @@
 TEST_CASE("a repeated report of a crash changes nothing")
 {
     ledger_fixture test;
-    const crash_report report{"crash", 0, {{"job.0.0.0", "queue", SOON, start_evidence::confirmed}}};
+    const crash_report report{"crash", crash_state::proved, 0, {{"job.0.0.0", "queue", SOON, start_evidence::confirmed}}};
     CHECK(test.ledger.record("agent", report).isNew);
     for (int repeat = 0; repeat < 5; ++repeat) {
         test.time.run(milliseconds(500));
@@ -78,9 +78,9 @@
 /// Guards against evidence that depends on the order in which reports arrive from different agents.
 TEST_CASE("the rounds are the same in whichever order the reports arrive")
 {
-    const std::vector<crash_report> reports{{"first", 900, {{"job.0.0.0", "queue", SOON, start_evidence::confirmed}}},
-                                            {"second", 500, {{"job.0.0.0", "queue", SOON, start_evidence::confirmed}}},
-                                            {"third", 100, {{"job.0.0.1", "queue", SOON, start_evidence::confirmed}}}};
+    const std::vector<crash_report> reports{{"first", crash_state::proved, 900, {{"job.0.0.0", "queue", SOON, start_evidence::confirmed}}},
+                                            {"second", crash_state::proved, 500, {{"job.0.0.0", "queue", SOON, start_evidence::confirmed}}},
+                                            {"third", crash_state::proved, 100, {{"job.0.0.1", "queue", SOON, start_evidence::confirmed}}}};
     std::vector<std::size_t> order{0, 1, 2};
     do {
         ledger_fixture test;
@@ -99,7 +99,7 @@
     test.crash({"deadly.0.0.0", "one.0.0.0", "two.0.0.0"});
     test.time.run(milliseconds(500));
     const crash_findings findings = test.crash({"deadly.0.0.0"});
-    CHECK(findings.givenUpQueues == std::vector<std::string>{"queue"});
+    CHECK(findings.stoppedQueues == std::vector<std::string>{"queue"});
     CHECK(test.ledger.verdictOf("deadly") == crash_verdict::given_up);
     CHECK(test.ledger.verdictOf("one") == crash_verdict::suspect);
     CHECK(test.ledger.verdictOf("two") == crash_verdict::suspect);
@@ -233,7 +233,7 @@
 {
     ledger_fixture test;
     for (int crash = 0; crash < 2; ++crash) {
-        crash_report report{"crash" + std::to_string(crash), 0, {}};
+        crash_report report{"crash" + std::to_string(crash), crash_state::proved, 0, {}};
         report.runs.push_back({"sound.0.0.0", "queue", SOON, start_evidence::confirmed});
         report.runs.push_back({"deadly" + std::to_string(crash) + ".0.0.0", "queue", 8, start_evidence::none});
         test.ledger.record("agent", report);
@@ -284,5 +284,61 @@
     test.time.run(seconds(1));
     test.ledger.forgetOld();
     CHECK(test.ledger.isEmpty());
-    CHECK_FALSE(test.ledger.record("agent", {"old", 30'000, {{"two.0.0.0", "queue", SOON, start_evidence::confirmed}}}).isNew);
+    CHECK_FALSE(
+        test.ledger.record("agent", {"old", crash_state::proved, 30'000, {{"two.0.0.0", "queue", SOON, start_evidence::confirmed}}}).isNew);
+}
+
+/// Guards against a job that fails because its workers were cut off, and against a task that is started on and on until the proof has come.
+TEST_CASE("a job is held for suspected crashes, given up when they are proved, and sound again when they are withdrawn")
+{
+    for (const crash_state end : {crash_state::proved, crash_state::withdrawn}) {
+        CAPTURE(crashStateName(end));
+        ledger_fixture test;
+        std::vector<crash_report> reports;
+        for (const std::string crash : {"first", "second"}) {
+            reports.push_back({crash, crash_state::suspected, 0, {{"job.0.0.0", "queue", SOON, start_evidence::confirmed}}});
+            const crash_findings findings = test.ledger.record("agent", reports.back());
+            CHECK(findings.stoppedQueues.size() == (crash == "second" ? 1 : 0));
+            CHECK(test.ledger.verdictOf("job") == (crash == "second" ? crash_verdict::held : crash_verdict::suspect));
+            test.time.run(seconds(1));
+        }
+        CHECK(test.ledger.crashesUnderOneTaskOf("job") == 0);
+        CHECK(test.ledger.counters().crashes == 0);
+        reports[0].state = end;
+        reports[0].ageMilliseconds = 2'000;
+        const crash_findings first = test.ledger.record("agent", reports[0]);
+        CHECK(first.isNew);
+        CHECK(first.stoppedQueues.empty());
+        CHECK(first.releasedQueues.size() == (end == crash_state::withdrawn ? 1 : 0));
+        CHECK(test.ledger.verdictOf("job") == (end == crash_state::withdrawn ? crash_verdict::suspect : crash_verdict::held));
+        CHECK_FALSE(test.ledger.record("agent", reports[0]).isNew);
+        // A suspicion that arrives late changes nothing.
+        reports[0].state = crash_state::suspected;
+        CHECK_FALSE(test.ledger.record("agent", reports[0]).isNew);
+        reports[1].state = end;
+        reports[1].ageMilliseconds = 1'000;
+        CHECK(test.ledger.record("agent", reports[1]).stoppedQueues.empty());
+        CHECK(test.ledger.verdictOf("job") == (end == crash_state::withdrawn ? crash_verdict::sound : crash_verdict::given_up));
+        CHECK(test.ledger.isEmpty() == (end == crash_state::withdrawn));
+        CHECK(test.ledger.counters().givenUpJobs == (end == crash_state::withdrawn ? 0 : 1));
+    }
+}
+
+/// Guards against an innocent run that stays charged although its start has turned out to have reached no worker.
+TEST_CASE("the runs of a proved crash replace those of the suspected one")
+{
+    ledger_fixture test;
+    crash_report report{"crash",
+                        crash_state::suspected,
+                        0,
+                        {{"one.0.0.0", "queue", SOON, start_evidence::none}, {"two.0.0.0", "queue", SOON, start_evidence::confirmed}}};
+    test.ledger.record("agent", report);
+    CHECK(test.ledger.isCharged("one"));
+    report.state = crash_state::proved;
+    report.runs.erase(report.runs.begin());
+    test.ledger.record("agent", report);
+    CHECK_FALSE(test.ledger.isCharged("one"));
+    CHECK(test.ledger.roundsOf("two") == 1);
+    CHECK(test.ledger.verdictOf("two") == crash_verdict::suspect);
+    CHECK(test.ledger.counters().crashes == 1);
 }
--- a/src/dispatch/tests/queue_containment_test.cpp
+++ b/src/dispatch/tests/queue_containment_test.cpp
@@ -50,3 +50,22 @@
     CHECK_FALSE(containment.isContained("bad"));
     CHECK(containment.services().empty());
 }
+
+/// Guards against a queue that stays contained for jobs whose workers were only cut off.
+TEST_CASE("a queue is released when a job for which it was contained is no longer held")
+{
+    virtual_time time;
+    decision_journal journal(time);
+    queue_containment containment(time, journal);
+    containment.recordReleased("cut");
+    containment.recordGivenUp("cut", "desk");
+    containment.recordGivenUp("cut", "desk");
+    REQUIRE(containment.isContained("cut"));
+    containment.recordReleased("cut");
+    CHECK_FALSE(containment.isContained("cut"));
+    containment.recordReleased("cut");
+    containment.recordGivenUp("cut", "desk");
+    CHECK_FALSE(containment.isContained("cut"));
+    containment.recordGivenUp("cut", "desk");
+    CHECK(containment.isContained("cut"));
+}
--- a/src/messages/codec.h
+++ b/src/messages/codec.h
@@ -12,7 +12,7 @@
 {
 
 /// Version of the protocol between entries and agents. A message with a different version is not decoded.
-constexpr std::uint16_t PROTOCOL_VERSION = 4;
+constexpr std::uint16_t PROTOCOL_VERSION = 5;
 
 /// Maximum size of a message that decodeMessage() accepts, in bytes. encodeMessage() does not check it.
 constexpr std::size_t MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
--- a/src/messages/crash_messages.h
+++ b/src/messages/crash_messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "messages/job_request.h"
@@ -49,11 +50,30 @@
     }
 };
 
-/// Crash of the worker of an agent, with the runs that were lost with it. The agent sends it to its entries before the results of these
-/// runs, and again to each entry that connects while it remembers the crash.
+/// What an agent knows of a crash.
+enum class crash_state : std::uint8_t {
+    /// The worker refuses connections: it may have crashed, or it may be cut off and run on.
+    suspected = 0,
+    /// Another instance or boot has answered in its place.
+    proved = 1,
+    /// It was suspected, and the worker has answered again.
+    withdrawn = 2,
+};
+
+/// Returns the name of the state as it appears in logs.
+constexpr std::string_view crashStateName(crash_state state)
+{
+    constexpr std::string_view NAMES[] = {"suspected", "proved", "withdrawn"};
+    return NAMES[static_cast<std::size_t>(state)];
+}
+
+/// Crash of the worker of an agent, with the runs that were lost with it. The agent sends it to its entries when it is suspected, and again
+/// when it is proved or withdrawn; also to each entry that connects while it remembers the crash. One that is proved before the results of
+/// the runs are known is sent before these.
 struct crash_report {
     /// Identifies the crash among all crashes of all workers.
     std::string crash;
+    crash_state state = crash_state::proved;
     /// Time since the crash was noticed, in milliseconds.
     std::uint32_t ageMilliseconds = 0;
     std::vector<crashed_run> runs;
@@ -62,6 +82,7 @@
     void serialize(Archive &archive)
     {
         archiveText(archive, crash);
+        archiveEnumeration(archive, state, crash_state::withdrawn);
         archive(ageMilliseconds);
         archiveList<MAX_CRASHED_RUNS>(archive, runs);
     }
--- a/src/messages/tests/codec_test.cpp
+++ b/src/messages/tests/codec_test.cpp
@@ -86,7 +86,7 @@
             handover_answer{4, handover_answer_kind::refused_full, "too much work", 500'000},
             handover_answer{5, handover_answer_kind::refused_unavailable, "the job is active here already", 0, true},
             handover_released{{4, 5}},
-            crash_report{"agent-1/7/2", 20, {{"00000000000000ab.0.0.3", "queue", 61, start_evidence::confirmed}}},
+            crash_report{"agent-1/7/2", crash_state::suspected, 20, {{"00000000000000ab.0.0.3", "queue", 61, start_evidence::confirmed}}},
             handover_cancel{{4, 5}},
             handover_lease{3, 99, 98, true},
             routing_request{7, 8192},
--- a/src/runs/crash_log.cpp
+++ b/src/runs/crash_log.cpp
@@ -20,14 +20,18 @@
 {
 }
 
-crash_report crash_log::add(std::vector<crashed_run> runs, steady_time noticedAt)
+crash_report crash_log::record(const worker_crash &crash)
 {
+    std::vector<crashed_run> runs = crash.runs;
     std::ranges::stable_sort(runs, {}, &crashed_run::ageMilliseconds);
     runs.resize(std::min(runs.size(), MAX_CRASHED_RUNS));
-    ++m_count;
-    m_crashes.push_back({{m_process + '/' + std::to_string(m_count), 0, std::move(runs)}, noticedAt});
+    m_count += crash.state == crash_state::proved ? 1 : 0;
+    const std::string name = m_process + '/' + std::to_string(crash.number);
+    std::erase_if(m_crashes, [&name](const remembered_crash &known) { return known.report.crash == name; });
+    m_crashes.push_back({{name, crash.state, 0, std::move(runs)}, crash.noticedAt});
     if (m_crashes.size() > MAX_CRASHES) {
-        m_crashes.pop_front();
+        const auto withdrawn = std::ranges::find(m_crashes, crash_state::withdrawn, [](const auto &known) { return known.report.state; });
+        m_crashes.erase(withdrawn == m_crashes.end() ? m_crashes.begin() : withdrawn);
     }
     return currentReport(m_crashes.back());
 }
--- a/src/runs/crash_log.h
+++ b/src/runs/crash_log.h
@@ -8,6 +8,7 @@
 
 #include "base/time_source.h"
 #include "messages/messages.h"
+#include "runs/worker_crash_listener.h"
 
 namespace azuremoor
 {
@@ -25,14 +26,14 @@
     /// The process of the agent distinguishes its crashes from those of others.
     crash_log(const time_source &time, const hello &agent);
 
-    /// Adds a crash that was noticed at the given time, and returns its report as of now, with the runs that began last first. Earlier runs
-    /// beyond MAX_CRASHED_RUNS are left out.
-    crash_report add(std::vector<crashed_run> runs, steady_time noticedAt);
+    /// Records a crash, or what has become known of it since, and returns its report as of now, with the runs that began last first.
+    /// Earlier runs beyond MAX_CRASHED_RUNS are left out.
+    crash_report record(const worker_crash &crash);
 
     /// Returns the reports of the remembered crashes, oldest first, with their ages as of now.
     std::vector<crash_report> reports() const;
 
-    /// Returns the number of crashes that were added.
+    /// Returns the number of crashes that were proved.
     std::uint64_t count() const;
 
 private:
--- a/src/runs/crash_suspicion.cpp
+++ b/src/runs/crash_suspicion.cpp
@@ -5,9 +5,16 @@
 namespace azuremoor
 {
 
+crash_suspicion::crash_suspicion(worker_crash_listener &listener)
+    : m_listener(listener)
+{
+}
+
 void crash_suspicion::begin(worker_crash crash)
 {
+    crash.state = crash_state::suspected;
     m_crash = std::move(crash);
+    m_listener.handleWorkerCrash(*m_crash);
 }
 
 void crash_suspicion::removeRun(std::string_view task)
@@ -17,27 +24,29 @@
     }
 }
 
-bool crash_suspicion::isAgainst(const worker_identity &worker) const
+void crash_suspicion::resolve(const worker_identity &answering)
 {
-    return m_crash && m_crash->worker == worker;
-}
-
-std::optional<worker_crash> crash_suspicion::resolve(const worker_identity &answering)
-{
-    const bool isSame = isAgainst(answering);
-    std::optional<worker_crash> crash = take();
-    return isSame ? std::nullopt : std::move(crash);
+    if (m_crash) {
+        report(m_crash->worker == answering ? crash_state::withdrawn : crash_state::proved);
+    }
 }
 
-std::optional<worker_crash> crash_suspicion::confirm(const worker_identity &ended)
+std::optional<steady_time> crash_suspicion::end(const worker_identity &ended, crash_state state)
 {
-    return isAgainst(ended) ? take() : std::nullopt;
+    if (!m_crash || m_crash->worker != ended) {
+        return std::nullopt;
+    }
+    const steady_time noticedAt = m_crash->noticedAt;
+    report(state);
+    return noticedAt;
 }
 
-std::optional<worker_crash> crash_suspicion::take()
+void crash_suspicion::report(crash_state state)
 {
-    std::optional<worker_crash> crash = std::exchange(m_crash, std::nullopt);
-    return crash && !crash->runs.empty() ? std::move(crash) : std::nullopt;
+    worker_crash crash = *std::exchange(m_crash, std::nullopt);
+    // A crash that has turned out to have hit no runs concerns nobody.
+    crash.state = crash.runs.empty() ? crash_state::withdrawn : state;
+    m_listener.handleWorkerCrash(crash);
 }
 
 }
--- a/src/runs/crash_suspicion.h
+++ b/src/runs/crash_suspicion.h
@@ -18,27 +18,26 @@
 class crash_suspicion
 {
 public:
-    /// Suspects a crash. Replaces an earlier suspicion of which nothing more has been heard.
+    /// Takes the receiver of what becomes known.
+    explicit crash_suspicion(worker_crash_listener &listener);
+
+    /// Suspects a crash, and reports that. Replaces an earlier suspicion of which nothing more has been heard.
     void begin(worker_crash crash);
 
     /// Removes the run of a task from the suspected crash, because its start has turned out to have reached no worker.
     void removeRun(std::string_view task);
 
-    /// Returns whether a crash of this worker is suspected.
-    bool isAgainst(const worker_identity &worker) const;
-
-    /// Ends a suspicion, if there is one, because the given worker has answered. Returns the crash if that proves it
-    /// and it hit any runs.
-    std::optional<worker_crash> resolve(const worker_identity &answering);
+    /// Ends a suspicion, if there is one, because the given worker has answered: a crash of this one is withdrawn, that of another proved.
+    void resolve(const worker_identity &answering);
 
-    /// Ends a suspicion against the given worker, if there is one, because another one answers in its place. Returns the crash
-    /// if it hit any runs.
-    std::optional<worker_crash> confirm(const worker_identity &ended);
+    /// Ends a suspicion against the given worker, in whose place another one answers: the crash is proved, or withdrawn if its runs are not
+    /// all over. Returns when it was noticed, or nothing if there was no suspicion.
+    std::optional<steady_time> end(const worker_identity &ended, crash_state state);
 
 private:
-    /// Ends the suspicion, and returns the crash if it hit any runs.
-    std::optional<worker_crash> take();
+    void report(crash_state state);
 
+    worker_crash_listener &m_listener;
     std::optional<worker_crash> m_crash;
 };
 
--- a/src/runs/run_agent.cpp
+++ b/src/runs/run_agent.cpp
@@ -211,23 +211,32 @@
 
 void run_agent::handleWorkerCrash(const worker_crash &crash)
 {
-    const auto confirmedRuns = std::ranges::count(crash.runs, start_evidence::confirmed, &crashed_run::start);
-    const crash_report report = m_crashes.add(crash.runs, crash.noticedAt);
-    const crashed_run &youngest = report.runs.front();
-    m_journal.note("worker_crashed",
-                   {{"worker", crash.worker.instance.substr(0, MAX_NAME_BYTES)},
-                    {"crash", report.crash},
-                    {"noticed_ms_ago", std::to_string(report.ageMilliseconds)},
-                    {"runs", std::to_string(crash.runs.size())},
-                    {"confirmed_runs", std::to_string(confirmedRuns)},
-                    {"youngest_task", youngest.task.substr(0, MAX_NAME_BYTES)},
-                    {"youngest_age_ms", std::to_string(youngest.ageMilliseconds)},
-                    {"youngest_confirmed", youngest.start == start_evidence::confirmed ? "yes" : "no"}});
+    const crash_report report = m_crashes.record(crash);
+    noteCrash(crash, report);
     for (const auto &[entry, sessionName] : m_currentSessions) {
         m_outbox.send(entry, report);
     }
 }
 
+void run_agent::noteCrash(const worker_crash &crash, const crash_report &report)
+{
+    journal_fields fields = {{"worker", crash.worker.instance.substr(0, MAX_NAME_BYTES)},
+                             {"crash", report.crash},
+                             {"noticed_ms_ago", std::to_string(report.ageMilliseconds)},
+                             {"runs", std::to_string(crash.runs.size())}};
+    if (crash.state == crash_state::withdrawn) {
+        m_journal.note("crash_withdrawn", std::move(fields));
+        return;
+    }
+    const auto confirmedRuns = std::ranges::count(crash.runs, start_evidence::confirmed, &crashed_run::start);
+    const crashed_run &youngest = report.runs.front();
+    fields.emplace_back("confirmed_runs", std::to_string(confirmedRuns));
+    fields.emplace_back("youngest_task", youngest.task.substr(0, MAX_NAME_BYTES));
+    fields.emplace_back("youngest_age_ms", std::to_string(youngest.ageMilliseconds));
+    fields.emplace_back("youngest_confirmed", youngest.start == start_evidence::confirmed ? "yes" : "no");
+    m_journal.note(crash.state == crash_state::proved ? "worker_crashed" : "crash_suspected", std::move(fields));
+}
+
 run_supervisor &run_agent::supervisor()
 {
     return m_supervisor;
--- a/src/runs/run_agent.h
+++ b/src/runs/run_agent.h
@@ -98,6 +98,8 @@
     /// Returns the session of the entry's current connection, or null if the entry is not connected.
     entry_session *findSession(const std::string &entry);
     const entry_session *findSession(const std::string &entry) const;
+    /// Notes in the journal what has become known of a crash.
+    void noteCrash(const worker_crash &crash, const crash_report &report);
     /// Returns whether the session has runs or unacknowledged results.
     bool isBusy(const std::string &sessionName, const entry_session &session) const;
     /// Renews the lease as of a time at which the entry was certainly there.
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -69,6 +69,7 @@
     , m_crashes(crashes)
     , m_journal(journal)
     , m_contenders(journal)
+    , m_suspicion(crashes)
 {
 }
 
@@ -341,10 +342,10 @@
     return isResponsive() && !isDraining();
 }
 
-worker_crash run_supervisor::currentCrash() const
+worker_crash run_supervisor::makeCrash(crash_state state)
 {
     const steady_time now = m_time.steadyNow();
-    return {m_worker->report.identity(), now, m_table.crashedRuns(now)};
+    return {++m_lastCrash, state, m_worker->report.identity(), now, m_table.crashedRuns(now)};
 }
 
 void run_supervisor::handleRefusedConnection()
@@ -355,7 +356,7 @@
     }
     const bool isSuspected = wouldBeCrash() && !m_table.runs().empty();
     if (isSuspected) {
-        m_suspicion.begin(currentCrash());
+        m_suspicion.begin(makeCrash(crash_state::suspected));
     }
     m_journal.note("worker_refuses",
                    {{"worker", m_worker->report.workerInstance},
@@ -379,20 +380,15 @@
     if (std::exchange(m_worker->refusesConnections, false)) {
         m_journal.note("worker_reachable", {{"worker", m_worker->report.workerInstance}, {"runs", std::to_string(m_table.runs().size())}});
     }
-    if (const std::optional<worker_crash> crash = m_suspicion.resolve(m_worker->report.identity())) {
-        m_crashes.handleWorkerCrash(*crash);
-    }
+    m_suspicion.resolve(m_worker->report.identity());
 }
 
 void run_supervisor::discardEndedWorker()
 {
     dropHeldStarts();
-    std::optional<worker_crash> crash = m_suspicion.confirm(m_worker->report.identity());
-    if (!crash && wouldBeCrash() && !m_table.runs().empty()) {
-        crash = currentCrash();
-    }
-    if (crash) {
-        m_crashes.handleWorkerCrash(*crash);
+    const bool wasSuspected = m_suspicion.end(m_worker->report.identity(), crash_state::proved).has_value();
+    if (!wasSuspected && wouldBeCrash() && !m_table.runs().empty()) {
+        m_crashes.handleWorkerCrash(makeCrash(crash_state::proved));
     }
     discardWorker(run_outcome::worker_lost, "another instance answered");
 }
@@ -451,15 +447,10 @@
 
 std::optional<steady_time> run_supervisor::formerBootCrashTime()
 {
-    const std::optional<worker_crash> suspected = m_suspicion.confirm(m_worker->report.identity());
-    if (!suspected) {
-        return wouldBeCrash() ? std::optional(m_time.steadyNow()) : std::nullopt;
-    }
-    if (m_table.runs().empty()) {
-        // They have ended with the lease.
-        m_crashes.handleWorkerCrash(*suspected);
-    }
-    return suspected->noticedAt;
+    // Runs that have not ended with the lease are reported when they are known not to go on at the new boot.
+    const crash_state state = m_table.runs().empty() ? crash_state::proved : crash_state::withdrawn;
+    const std::optional<steady_time> suspectedAt = m_suspicion.end(m_worker->report.identity(), state);
+    return suspectedAt || !wouldBeCrash() ? suspectedAt : std::optional(m_time.steadyNow());
 }
 
 bool run_supervisor::considerContender(const worker_report &report)
@@ -734,7 +725,8 @@
         }
     }
     if (!lost.empty()) {
-        m_crashes.handleWorkerCrash({m_worker->report.identity(), *m_worker->formerBootCrashedAt, std::move(lost)});
+        m_crashes.handleWorkerCrash(
+            {++m_lastCrash, crash_state::proved, m_worker->report.identity(), *m_worker->formerBootCrashedAt, std::move(lost)});
     }
 }
 
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -139,7 +139,7 @@
     /// may have reached the new one, so each run goes on until the new boot, asked with a higher fencing token, does not list it.
     void followReboot(const lease_response &response);
     /// Returns when the current worker, in whose place another boot has answered, was seen to crash, or nothing if it did not crash.
-    /// Reports the runs that have been lost with it if their results have been reported.
+    /// Ends the suspicion of that.
     std::optional<steady_time> formerBootCrashTime();
     /// Handles a report of a worker other than the current one. Returns false if it is refused.
     bool considerContender(const worker_report &report);
@@ -150,8 +150,8 @@
     void giveWay();
     /// Returns whether the current worker, if it is gone, has crashed: it answered recently, and its end was not planned.
     bool wouldBeCrash() const;
-    /// Returns the crash of the current worker that is noticed now.
-    worker_crash currentCrash() const;
+    /// Returns a crash of the current worker that is noticed now, with all of its runs.
+    worker_crash makeCrash(crash_state state);
     /// Sends no more runs to the worker until it answers again, because a connection to it was refused. Suspects a crash.
     void handleRefusedConnection();
     /// Like handleRefusedConnection(), for a refused start or stop: asks the worker at once whether it is there.
@@ -205,6 +205,8 @@
     std::unique_ptr<tracked_worker> m_worker;
     contender_tracker m_contenders;
     crash_suspicion m_suspicion;
+    /// Number of the last crash that was suspected or proved.
+    std::uint64_t m_lastCrash = 0;
     /// Number of the last registration of a worker. An instance that was given up can be registered again.
     std::uint64_t m_lastRegistration = 0;
     run_table m_table;
--- a/src/runs/tests/crash_report_test.cpp
+++ b/src/runs/tests/crash_report_test.cpp
@@ -103,11 +103,12 @@
         worker.renewalDelivery = delivery;
     }
 
-    std::vector<crash_report> reportsTo(const std::string &entry) const
+    /// Returns the crashes in this state that the entry was told.
+    std::vector<crash_report> reportsTo(const std::string &entry, crash_state state = crash_state::proved) const
     {
         std::vector<crash_report> result;
         for (const message &each : messagesTo(entry)) {
-            if (const auto *report = std::get_if<crash_report>(&each)) {
+            if (const auto *report = std::get_if<crash_report>(&each); report != nullptr && report->state == state) {
                 result.push_back(*report);
             }
         }
@@ -616,3 +617,52 @@
     CHECK(outcomeOf(2) == run_outcome::stopped);
     CHECK(reportsTo("one").size() == 1);
 }
+
+/// Guards against an innocent task that stays suspected because its worker was cut off, also at an entry that learns of it later.
+TEST_CASE_FIXTURE(crash_fixture, "a suspicion is told at once, and withdrawn when the worker answers again")
+{
+    order(1, "job.0.0.0");
+    run(milliseconds(50));
+    agent.disconnectEntry("two");
+    // The run goes on through the first cut.
+    for (const milliseconds cut : {milliseconds(100), milliseconds(3'000)}) {
+        CAPTURE(cut.count());
+        received.clear();
+        deliver(fake_worker::order_delivery::refused);
+        run(milliseconds(50));
+        REQUIRE(reportsTo("one", crash_state::suspected).size() == 1);
+        CHECK(tasksOf(reportsTo("one", crash_state::suspected).front()) == std::vector<std::string>{"job.0.0.0"});
+        run(cut - milliseconds(50));
+        CHECK(reportsTo("one", crash_state::withdrawn).empty());
+        deliver(fake_worker::order_delivery::answered);
+        run(milliseconds(200));
+        REQUIRE(reportsTo("one", crash_state::withdrawn).size() == 1);
+        CHECK(reportsTo("one", crash_state::withdrawn).front().crash == reportsTo("one", crash_state::suspected).front().crash);
+        connect("two");
+        CHECK(reportsTo("two", crash_state::suspected).empty());
+        agent.disconnectEntry("two");
+        received.clear();
+        run(milliseconds(500));
+        CHECK(reportsTo("one", crash_state::suspected).empty());
+    }
+    CHECK(reportsTo("one").empty());
+    CHECK(agent.crashCount() == 0);
+}
+
+/// Guards against a crash that counts twice because it was suspected first.
+TEST_CASE_FIXTURE(crash_fixture, "a crash is proved under the identifier with which it was suspected")
+{
+    order(1, "job.0.0.0");
+    run(milliseconds(50));
+    goDown();
+    run(seconds(2));
+    CHECK(outcomeOf(1) == run_outcome::lapsed);
+    CHECK(reportsTo("one").empty());
+    comeBack();
+    REQUIRE(reportsTo("one").size() == 1);
+    REQUIRE(reportsTo("one", crash_state::suspected).size() == 1);
+    CHECK(reportsTo("one").front().crash == reportsTo("one", crash_state::suspected).front().crash);
+    CHECK(tasksOf(reportsTo("one").front()) == std::vector<std::string>{"job.0.0.0"});
+    CHECK(reportsTo("one").front().ageMilliseconds >= 2'000);
+    CHECK(agent.crashCount() == 1);
+}
--- a/src/runs/tests/supervisor_fixture.h
+++ b/src/runs/tests/supervisor_fixture.h
@@ -37,7 +37,7 @@
 
     void handleWorkerCrash(const worker_crash &crash) override
     {
-        crashes.push_back(crash);
+        (crash.state == crash_state::proved ? crashes : openCrashes).push_back(crash);
     }
 
     void run(milliseconds duration)
@@ -79,8 +79,9 @@
     std::vector<std::unique_ptr<run_supervisor>> former;
     std::unique_ptr<run_supervisor> supervisor;
     std::map<std::pair<std::string, std::uint64_t>, run_outcome> results;
-    /// The crashes of the worker that were reported.
+    /// The crashes of the worker that were reported as proved, and the reports of suspected and withdrawn ones.
     std::vector<worker_crash> crashes;
+    std::vector<worker_crash> openCrashes;
     /// The last run that was still active when a result was reported; empty if there was none.
     run_key activeRunAtResult;
 };
