run_supervisor: parts of it become classes of their own

Stops of a session and of an origin, which were the same loop twice, are one. Comments of failure_kind and http_client no longer say that a refusal shows the end of a server.

--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -34,10 +34,10 @@
     return "may_have_run";
 }
 
-/// What went wrong with a request, as far as the transport has seen it. Only `refused` says something about the other side.
+/// What went wrong with a request, as far as the transport has seen it. None of them shows that the server has ended.
 enum class failure_kind : std::uint8_t {
     other,
-    /// The host answered that nothing listens at the address.
+    /// The connection was refused: nothing listens at the address, or the path to it refuses connections.
     refused,
     /// The time for the request, or for opening a connection, has run out.
     timed_out,
--- a/src/runs/run_supervisor.cpp
+++ b/src/runs/run_supervisor.cpp
@@ -1,7 +1,6 @@
 #include "runs/run_supervisor.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace azuremoor
@@ -10,12 +9,6 @@
 namespace
 {
 
-/// Allowance for the time that a worker needs to stop a run, and for timer delays.
-constexpr milliseconds STOP_MARGIN{70};
-
-/// Interval at which a stop is repeated while the run has not ended.
-constexpr milliseconds STOP_RETRY_INTERVAL{60};
-
 /// Time after which a stop without effect prevents the renewal of the worker's lease.
 constexpr milliseconds STOP_TIMEOUT{150};
 
@@ -35,27 +28,6 @@
 
 }
 
-std::string_view workerReplyName(worker_reply reply)
-{
-    constexpr std::array<std::string_view, 11> NAMES = {"accepted",
-                                                        "fenced",
-                                                        "stale_number",
-                                                        "late",
-                                                        "no_room",
-                                                        "malformed",
-                                                        "unhealthy",
-                                                        "wrong_worker",
-                                                        "refused",
-                                                        "not_sent",
-                                                        "unknown"};
-    return NAMES[static_cast<std::size_t>(reply)];
-}
-
-microseconds lease_timing::maxOrphanedRunTime() const
-{
-    return entryLease + withClockTolerance(workerLease) + STOP_MARGIN;
-}
-
 run_supervisor::run_supervisor(const time_source &time,
                                lease_timing leases,
                                worker_client &client,
@@ -87,14 +59,7 @@
     if (report.sequence < m_worker->report.sequence) {
         return true;
     }
-    m_worker->report = report;
-    m_worker->hasReported = true;
-    m_worker->hasDeparted = false;
-    if (!m_worker->hasLease) {
-        // The instance may have been registered by a late report, whose clock is behind the tokens that it has seen.
-        m_worker->fencingToken = std::max(m_worker->fencingToken, static_cast<std::uint64_t>(report.clock));
-    }
-    m_worker->coldUntil = m_time.steadyNow() + report.coldRemaining;
+    m_worker->update(report, m_time.steadyNow());
     if (report.draining && !m_worker->draining) {
         m_worker->draining = true;
         m_journal.note("worker_draining", {{"worker", report.workerInstance}, {"runs", std::to_string(m_table.runs().size())}});
@@ -132,16 +97,7 @@
         refuse(run_outcome::stale_number);
         return;
     }
-    supervised_run run;
-    run.session = session;
-    run.origin = order.origin;
-    run.queue = order.queue;
-    run.sequence = order.sequence;
-    run.resources = order.shape;
-    run.estimate = microseconds(order.estimate);
-    run.startedAt = m_time.steadyNow();
-    run.wasWorkerAsked = order.isWorkerAskedFirst;
-    supervised_run &added = m_table.runs().emplace(key, run).first->second;
+    supervised_run &added = m_table.add(session, order, m_time.steadyNow());
     if (order.isWorkerAskedFirst) {
         added.state = run_state::held;
         added.holdDeadline = m_time.steadyNow() + m_leases.requestTimeout;
@@ -216,21 +172,21 @@
 
 void run_supervisor::stopAll(const std::string &session)
 {
-    for (auto &[key, run] : m_table.runs()) {
-        if (run.session == session) {
-            // The entry or others may rely on these runs being over one worker lease from now, so the lease is withheld immediately.
-            requestStop(key, run, milliseconds(0));
-        }
-    }
+    stopAtOnce(session, nullptr);
 }
 
 std::size_t run_supervisor::stopRunsOfOrigin(const std::string &session, const std::string &origin)
+{
+    return stopAtOnce(session, &origin);
+}
+
+std::size_t run_supervisor::stopAtOnce(const std::string &session, const std::string *origin)
 {
     std::size_t count = 0;
     for (auto &[key, run] : m_table.runs()) {
-        if (run.session == session && run.origin == origin) {
+        if (run.session == session && (origin == nullptr || run.origin == *origin)) {
             ++count;
-            // As in stopAll(): the chain of leases leaves no time for repeated stops.
+            // Others may rely on these runs being over one worker lease from now, so the lease is withheld immediately.
             requestStop(key, run, milliseconds(0));
         }
     }
@@ -268,19 +224,12 @@
 
 worker_status run_supervisor::status() const
 {
-    worker_status result;
     if (m_worker == nullptr) {
-        return result;
+        return {};
     }
+    worker_status result = m_worker->status(m_table.usedCapacity(), m_time.steadyNow());
     result.ready = isReady() && !m_isClosed;
     result.draining = isDraining();
-    result.worker = m_worker->report.workerInstance;
-    result.service = m_worker->report.service;
-    result.labels = m_worker->report.labels;
-    result.capacity = m_worker->report.capacity;
-    result.free = result.capacity.saturatingMinus(m_table.usedCapacity());
-    const auto cold = std::chrono::ceil<milliseconds>(m_worker->coldUntil - m_time.steadyNow());
-    result.coldMilliseconds = static_cast<std::uint32_t>(std::max<std::int64_t>(cold.count(), 0));
     return result;
 }
 
@@ -311,8 +260,8 @@
 
 bool run_supervisor::isReady() const
 {
-    return m_worker != nullptr && m_worker->hasReported && m_worker->hasLease && !m_worker->hasForeignRuns && !m_worker->refusesConnections
-        && isResponsive() && !m_table.hasOverdueStop(m_time.steadyNow());
+    return m_worker != nullptr && m_worker->hasReported && m_worker->hasLease && !m_worker->foreignRuns.hasAny()
+        && !m_worker->refusesConnections && isResponsive() && !m_table.hasOverdueStop(m_time.steadyNow());
 }
 
 bool run_supervisor::isDraining() const
@@ -366,8 +315,12 @@
                     {"crash_suspected", isSuspected ? "yes" : "no"}});
 }
 
-void run_supervisor::handleRefusedOrder()
+void run_supervisor::handleUndeliveredOrder(worker_reply reply)
 {
+    if (reply == worker_reply::wrong_worker) {
+        discardEndedWorker();
+        return;
+    }
     const bool isNew = !m_worker->refusesConnections;
     handleRefusedConnection();
     if (isNew) {
@@ -422,11 +375,7 @@
                     {"former_boot", std::to_string(former.boot)},
                     {"runs", std::to_string(m_table.runs().size())},
                     {"last_answer_ms", millisecondsBetween(m_worker->lastAnswer, m_time.steadyNow())}});
-    worker_report booted;
-    booted.workerInstance = former.workerInstance;
-    booted.address = former.address;
-    booted.boot = response.boot;
-    booted.clock = response.clock;
+    const worker_report booted = nextBootOf(former, response);
     const std::optional<worker_report> reported = m_contenders.takeSuccessor(former.identity());
     const bool hasReported = reported && reported->identity() == booted.identity();
     const std::optional<steady_time> crashedAt = formerBootCrashTime();
@@ -438,11 +387,7 @@
     }
     // A start that reached the new boot has begun a lease there, whose deadline was one on the former boot's clock.
     m_worker->clock.extendLease(response.clock + m_leases.longestWorkerLease.count());
-    for (auto &[key, run] : m_table.runs()) {
-        run.isOfFormerBoot = true;
-        run.isStopConfirmed = false;
-        run.firstConclusiveRenewal = m_worker->lastRenewalNumber;
-    }
+    m_table.moveToNextBoot(m_worker->lastRenewalNumber);
 }
 
 std::optional<steady_time> run_supervisor::formerBootCrashTime()
@@ -520,17 +465,12 @@
         endRun(found, run_outcome::rejected);
         return;
     case worker_reply::wrong_worker:
-        // This start reached no worker, so its run has crashed none, and those that were sent later have not either.
-        m_table.recordRefusedStart(run.startedAt);
-        endRun(found, run_outcome::worker_lost);
-        discardEndedWorker();
-        return;
     case worker_reply::connection_refused:
-        // As above, but the other runs may go on.
+        // This start reached no worker, so its run has crashed none, and those that were sent later have not either.
         m_table.recordRefusedStart(run.startedAt);
         m_suspicion.removeRun(key.task);
         endRun(found, run_outcome::worker_lost);
-        handleRefusedOrder();
+        handleUndeliveredOrder(reply);
         return;
     case worker_reply::unknown:
         m_worker->lossRecoveryEnd = m_time.steadyNow() + LOSS_RECOVERY_TIME;
@@ -570,6 +510,11 @@
 {
     run.state = run_state::stopping;
     run.nextStopAttempt = m_time.steadyNow() + STOP_RETRY_INTERVAL;
+    requestWorkerStop(key);
+}
+
+void run_supervisor::requestWorkerStop(const run_key &key)
+{
     const std::uint64_t registration = m_worker->registration;
     m_client.stopRun(
         m_worker->context(), key, [this, registration, key](worker_reply reply) { handleStopReply(registration, key, reply); });
@@ -580,12 +525,8 @@
     if (!isCurrent(registration)) {
         return;
     }
-    if (reply == worker_reply::wrong_worker) {
-        discardEndedWorker();
-        return;
-    }
-    if (reply == worker_reply::connection_refused) {
-        handleRefusedOrder();
+    if (reply == worker_reply::wrong_worker || reply == worker_reply::connection_refused) {
+        handleUndeliveredOrder(reply);
         return;
     }
     const auto found = m_table.runs().find(key);
@@ -665,7 +606,7 @@
         stopForeignRuns(response.active);
     }
     // With unknown runs the lease is not extended, so that it would lapse again at once.
-    if (!m_worker->hasLease && !m_worker->hasForeignRuns) {
+    if (!m_worker->hasLease && !m_worker->foreignRuns.hasAny()) {
         m_worker->hasLease = true;
         m_journal.note("worker_held", {{"worker", workerInstance}});
         renew(milliseconds(0));
@@ -690,24 +631,8 @@
 
 void run_supervisor::reconcileActiveRuns(std::uint64_t renewalNumber, const lease_response &response)
 {
-    std::set<run_key> active;
-    for (const active_run &listed : response.active) {
-        active.insert(listed.run);
-        const auto found = m_table.runs().find(listed.run);
-        if (found != m_table.runs().end()) {
-            found->second.percent = listed.percent;
-            found->second.isStartConfirmed = true;
-            found->second.isOfFormerBoot = false;
-        }
-    }
-    std::vector<run_key> endedKeys;
-    for (const auto &[key, run] : m_table.runs()) {
-        const bool isConclusive = run.firstConclusiveRenewal != 0 && renewalNumber >= run.firstConclusiveRenewal;
-        const bool isPastDeadline = run.state == run_state::stopping && response.clock > run.startDeadline + STOP_MARGIN.count();
-        if (!active.contains(key) && (isConclusive || isPastDeadline)) {
-            endedKeys.push_back(key);
-        }
-    }
+    m_table.recordListed(response.active);
+    const std::vector<run_key> endedKeys = m_table.endedRuns(renewalNumber, response);
     reportFormerBootCrash(endedKeys);
     for (const run_key &key : endedKeys) {
         const auto found = m_table.runs().find(key);
@@ -717,42 +642,18 @@
 
 void run_supervisor::reportFormerBootCrash(std::span<const run_key> endedRuns)
 {
-    std::vector<crashed_run> lost;
-    for (const run_key &key : endedRuns) {
-        const supervised_run &run = m_table.runs().at(key);
-        if (run.isOfFormerBoot && m_worker->formerBootCrashedAt) {
-            lost.push_back(toCrashedRun(key, run, *m_worker->formerBootCrashedAt));
-        }
-    }
+    const std::optional<steady_time> crashedAt = m_worker->formerBootCrashedAt;
+    std::vector<crashed_run> lost = crashedAt ? m_table.lostWithFormerBoot(endedRuns, *crashedAt) : std::vector<crashed_run>();
     if (!lost.empty()) {
-        m_crashes.handleWorkerCrash(
-            {++m_lastCrash, crash_state::proved, m_worker->report.identity(), *m_worker->formerBootCrashedAt, std::move(lost)});
+        m_crashes.handleWorkerCrash({++m_lastCrash, crash_state::proved, m_worker->report.identity(), *crashedAt, std::move(lost)});
     }
 }
 
 void run_supervisor::stopForeignRuns(const std::vector<active_run> &active)
 {
-    bool hasForeign = false;
-    const steady_time now = m_time.steadyNow();
-    for (const active_run &listed : active) {
-        if (m_table.runs().contains(listed.run)) {
-            continue;
-        }
-        hasForeign = true;
-        steady_time &nextStopAttempt = m_worker->foreignRunStopTimes[listed.run];
-        if (now < nextStopAttempt) {
-            continue;
-        }
-        nextStopAttempt = now + STOP_RETRY_INTERVAL;
-        m_journal.note("foreign_run_stopped", {{"task", listed.run.task}, {"run", std::to_string(listed.run.runNumber)}});
-        const std::uint64_t registration = m_worker->registration;
-        m_client.stopRun(m_worker->context(), listed.run, [this, registration, key = listed.run](worker_reply reply) {
-            handleStopReply(registration, key, reply);
-        });
-    }
-    m_worker->hasForeignRuns = hasForeign;
-    if (!hasForeign) {
-        m_worker->foreignRunStopTimes.clear();
+    for (const run_key &key : m_worker->foreignRuns.update(active, m_table, m_time.steadyNow())) {
+        m_journal.note("foreign_run_stopped", {{"task", key.task}, {"run", std::to_string(key.runNumber)}});
+        requestWorkerStop(key);
     }
 }
 
@@ -760,7 +661,7 @@
 {
     // A worker without a lease has runs only if they were ordered from a former boot of it.
     const bool hasNothingToEnd = !m_worker->hasLease && m_table.runs().empty();
-    if (hasNothingToEnd || m_time.steadyNow() < m_worker->clock.latestLeaseEnd() + STOP_MARGIN) {
+    if (hasNothingToEnd || m_time.steadyNow() < m_worker->clock.latestLeaseEnd() + lease_timing::STOP_MARGIN) {
         return;
     }
     m_worker->hasLease = false;
--- a/src/runs/run_supervisor.h
+++ b/src/runs/run_supervisor.h
@@ -13,7 +13,9 @@
 #include "runs/capacity_forecast.h"
 #include "runs/contender_tracker.h"
 #include "runs/crash_suspicion.h"
+#include "runs/foreign_runs.h"
 #include "runs/held_starts.h"
+#include "runs/lease_timing.h"
 #include "runs/run_table.h"
 #include "runs/tracked_worker.h"
 #include "runs/worker_crash_listener.h"
@@ -22,24 +24,6 @@
 namespace azuremoor
 {
 
-/// Durations that limit how long a run can outlive the entry that ordered it.
-struct lease_timing {
-    /// Length of the worker's lease, counted from its last renewal.
-    milliseconds workerLease{600};
-    /// Longest lease that a worker grants. It shortens longer ones.
-    milliseconds longestWorkerLease{1000};
-    /// Length of an entry's lease at an agent, counted from the sending of the last heartbeat that the entry answered.
-    milliseconds entryLease{450};
-    /// Time after which an unanswered request to the worker has the reply `unknown`.
-    milliseconds requestTimeout{85};
-    /// Longest interval between two renewals of the worker's lease.
-    milliseconds renewalInterval{150};
-
-    /// Returns the longest time for which a run can go on after the last heartbeat that its entry answered was sent, if the worker's clock
-    /// is slow by CLOCK_TOLERANCE.
-    microseconds maxOrphanedRunTime() const;
-};
-
 /// Receives the results of runs.
 class run_result_listener
 {
@@ -154,8 +138,9 @@
     worker_crash makeCrash(crash_state state);
     /// Sends no more runs to the worker until it answers again, because a connection to it was refused. Suspects a crash.
     void handleRefusedConnection();
-    /// Like handleRefusedConnection(), for a refused start or stop: asks the worker at once whether it is there.
-    void handleRefusedOrder();
+    /// Handles a start or stop that has not reached the worker, because another instance answered or the connection was refused. In the
+    /// latter case the worker is asked at once whether it is there.
+    void handleUndeliveredOrder(worker_reply reply);
     /// Uses a worker again that has answered after its connections were refused, and decides whether another one had crashed before.
     void handleAnswerAfterRefusal();
     /// Gives the worker up, because another instance answered. Reports a crash if it was one.
@@ -164,6 +149,9 @@
     void discardWorker(run_outcome outcome, const std::string &reason);
     /// Returns whether the registration is that of the current worker.
     bool isCurrent(std::uint64_t registration) const;
+    /// Stops the runs of a session, or those of the origin if one is given. The worker's lease is not renewed until they have ended.
+    /// Returns the number of these runs.
+    std::size_t stopAtOnce(const std::string &session, const std::string *origin);
     void sendStart(const run_order &order, supervised_run &run);
     /// Sends the starts that waited for the renewal, whose answer has arrived, or ends their runs if there was none.
     void releaseHeldStarts(std::uint64_t renewalNumber, bool hasAnswered);
@@ -172,6 +160,8 @@
     void handleStartReply(std::uint64_t registration, const run_key &key, worker_reply reply, worker_milliseconds clock);
     void handleStopReply(std::uint64_t registration, const run_key &key, worker_reply reply);
     void sendStop(const run_key &key, supervised_run &run);
+    /// Asks the worker to stop a run, whoever ordered it.
+    void requestWorkerStop(const run_key &key);
     /// Repeats the stops that are due.
     void repeatStops();
     /// Sends a renewal. The worker may hold back its answer for up to `wait` until a run ends.
--- a/src/runs/run_table.h
+++ b/src/runs/run_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,9 @@
 namespace azuremoor
 {
 
+/// Interval at which a stop is repeated while the run has not ended.
+constexpr milliseconds STOP_RETRY_INTERVAL{60};
+
 /// What a run was last asked to do, and whether the worker has accepted it.
 enum class run_state : std::uint8_t {
     /// The start waits until the worker has answered another request.
@@ -71,6 +75,18 @@
     run_map &runs();
     const run_map &runs() const;
 
+    /// Adds a run of a session that is ordered now. There must be none with its task and number.
+    supervised_run &add(const std::string &session, const run_order &order, steady_time now);
+
+    /// Records the runs that the worker lists as in progress.
+    void recordListed(const std::vector<active_run> &active);
+
+    /// Returns the runs that a renewal's answer proves to be over, or unable to begin.
+    std::vector<run_key> endedRuns(std::uint64_t renewalNumber, const lease_response &response) const;
+
+    /// Turns to another boot of the worker, which lists the runs that have reached it with the answer to the renewal of the given number.
+    void moveToNextBoot(std::uint64_t firstConclusiveRenewal);
+
     /// Returns the capacity that the runs use.
     task_shape usedCapacity() const;
 
@@ -89,6 +105,10 @@
     /// Returns the runs as the report of a crash names them that has just been noticed.
     std::vector<crashed_run> crashedRuns(steady_time now) const;
 
+    /// Returns those of the given runs that were ordered from the former boot and have not reached the present one, as the report of a
+    /// crash of the former one names them.
+    std::vector<crashed_run> lostWithFormerBoot(std::span<const run_key> keys, steady_time crashedAt) const;
+
     /// Returns whether a run has not ended by its stop deadline.
     bool hasOverdueStop(steady_time now) const;
 
--- a/src/runs/tracked_worker.h
+++ b/src/runs/tracked_worker.h
@@ -2,9 +2,9 @@
 #define AZUREMOOR_RUNS_TRACKED_WORKER_H
 
 #include <cstdint>
-#include <map>
 #include <optional>
 
+#include "runs/foreign_runs.h"
 #include "runs/worker_client.h"
 #include "runs/worker_clock.h"
 
@@ -20,6 +20,12 @@
     /// have brought it a higher one.
     void raiseFencingToken();
 
+    /// Reads a further report of the worker.
+    void update(const worker_report &newReport, steady_time now);
+
+    /// Returns what the worker's reports say, without the members that do not follow from them.
+    worker_status status(const task_shape &used, steady_time now) const;
+
     /// Returns what a request to the worker states.
     request_context context() const;
 
@@ -40,8 +46,7 @@
     steady_time coldUntil{};
     /// A renewal was answered since the instance was registered or the lease last expired.
     bool hasLease = false;
-    /// The worker runs tasks that this process did not order.
-    bool hasForeignRuns = false;
+    foreign_runs foreignRuns;
     worker_clock clock;
     /// Highest number of the ended runs that were processed.
     std::uint64_t acknowledgedEnd = 0;
@@ -54,10 +59,11 @@
     steady_time lastAnswer;
     /// Several renewals are kept pending until then, because an answer was lost recently.
     steady_time lossRecoveryEnd;
-    /// Time of the next stop attempt for each run that this process did not order.
-    std::map<run_key, steady_time> foreignRunStopTimes;
 };
 
+/// Returns what is known of another boot of a worker that has answered in place of the one with the given report, and has not reported.
+worker_report nextBootOf(const worker_report &former, const lease_response &answer);
+
 }
 
 #endif
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -53,8 +53,8 @@
  * Sends HTTP requests through evhttp, over connections that are kept and used again.
  *
  * A request is reported as not run only when no byte of it was written to a connection; a connection lost later leaves it open
- * whether the server ran it. That a request was not run says nothing about the server: only the kind `refused` shows that nothing
- * listens at its address.
+ * whether the server ran it. That a request was not run says nothing about the server, nor about earlier requests: also behind a path that
+ * refuses connections, a server may run on.
  */
 class http_client
 {
