--- a/src/dispatch/crash_ledger.cpp
+++ b/src/dispatch/crash_ledger.cpp
@@ -80,11 +80,22 @@
                     {"confirmed_runs", std::to_string(std::ranges::count(report.runs, start_evidence::confirmed, &crashed_run::start))},
                     {"begun_runs", std::to_string(std::ranges::count_if(report.runs, &hadBegun, &crashed_run::start))},
                     {"jobs", std::to_string(jobs.size())},
+                    {"soon_jobs", std::to_string(countSoonJobs(jobs, report.crash))},
                     {"stopped", std::to_string(findings.stoppedQueues.size())},
                     {"released", std::to_string(findings.releasedQueues.size())}});
     return findings;
 }
 
+std::size_t crash_ledger::countSoonJobs(const std::set<std::string, std::less<>> &jobs, std::string_view crash) const
+{
+    return std::ranges::count_if(jobs, [&](const std::string &job) {
+        const auto found = m_jobs.find(job);
+        return found != m_jobs.end() && std::ranges::any_of(found->second.crashes, [crash](const charged_crash &each) {
+                   return each.crash == crash && each.isSoon;
+               });
+    });
+}
+
 bool crash_ledger::learnState(const crash_report &report, steady_time noticedAt)
 {
     const auto found = m_crashes.find(report.crash);
--- a/src/dispatch/crash_ledger.h
+++ b/src/dispatch/crash_ledger.h
@@ -156,6 +156,8 @@
     std::set<std::string, std::less<>> chargeRuns(const crash_report &report, steady_time noticedAt);
     /// Takes the crash back from the jobs that are charged with it. Returns them.
     std::set<std::string, std::less<>> discharge(std::string_view crash);
+    /// Returns how many of the jobs are charged with the crash as one that came soon after a start.
+    std::size_t countSoonJobs(const std::set<std::string, std::less<>> &jobs, std::string_view crash) const;
     /// Decides anew whether the job is held or given up.
     void reconsider(std::string_view job, const std::string &crash, crash_findings &findings);
     /// Returns the evidence against the job, new or known.
